--- /dev/null
+++ b/include/mustardwick/aio/http_listener.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "mustardwick/wire/endpoint.hpp"
+
+namespace mustardwick::aio
+{
+
+/// @brief A request whose body is complete and within its limit.
+struct incoming_request
+{
+    std::string method;
+    std::string target;
+    std::string host;
+    std::string authorization;
+    std::string body;
+    /// How long the caller says that it waits for the answer.
+    std::optional<std::chrono::milliseconds> deadline;
+    std::chrono::steady_clock::time_point received;
+};
+
+struct outgoing_response
+{
+    int status = 200;
+    std::string body;
+    std::string content_type = "application/json";
+    std::optional<std::chrono::milliseconds> retry_after;
+};
+
+using responder = std::function<void(outgoing_response)>;
+using request_handler = std::function<void(incoming_request, responder)>;
+
+/// @brief Bounds of the requests that a listener takes.
+struct listener_limits
+{
+    std::uint32_t max_header_bytes = 16U << 10U;
+    std::uint64_t max_body_bytes = 256U << 10U;
+    std::chrono::milliseconds header_timeout{3000};
+    std::chrono::milliseconds idle_timeout{15'000};
+    std::size_t max_connections = 2048;
+};
+
+/// @brief An asynchronous HTTP/1.1 server on one address.
+///
+/// Handlers answer through a callback, at any later time, so that a request
+/// that waits for another daemon holds no thread.
+class http_listener
+{
+public:
+    http_listener(boost::asio::io_context& io, wire::endpoint address,
+                  std::string deadline_header, request_handler handle);
+    ~http_listener();
+    http_listener(const http_listener&) = delete;
+    http_listener& operator=(const http_listener&) = delete;
+
+    /// @brief Binds and accepts; false gives base::last_error().
+    bool start();
+
+    /// @brief Applies to the requests that are read from now on.
+    void set_limits(const listener_limits& limits);
+
+    /// @brief Answers from now on ask the client to close the connection.
+    void begin_drain();
+
+    /// @brief Stops accepting and closes the connections that are idle.
+    void close_idle();
+
+    /// @brief Requests that were read and are not answered yet.
+    std::size_t open_requests() const;
+
+private:
+    struct impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace mustardwick::aio
--- /dev/null
+++ b/include/mustardwick/aio/peer_hub.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "mustardwick/wire/endpoint.hpp"
+#include "mustardwick/wire/frame.hpp"
+
+namespace mustardwick::aio
+{
+
+/// @brief Outcome of a call to another daemon.
+struct peer_result
+{
+    bool answered = false;
+    /// The peer's host answered that no process listens.
+    bool refused = false;
+    std::string payload;
+};
+
+using peer_callback = std::function<void(peer_result)>;
+using peer_responder = std::function<void(std::string)>;
+using peer_handler =
+    std::function<void(wire::message_type, std::string, peer_responder)>;
+
+/// @brief Calls between daemons: one multiplexed TCP connection per peer.
+///
+/// Frames carry cereal payloads and an authentication tag. A call that times
+/// out closes its connection when nothing at all arrived on it meanwhile.
+class peer_hub
+{
+public:
+    peer_hub(boost::asio::io_context& io, wire::endpoint listen,
+             std::string secret, peer_handler handle);
+    ~peer_hub();
+    peer_hub(const peer_hub&) = delete;
+    peer_hub& operator=(const peer_hub&) = delete;
+
+    /// @brief Binds and accepts; false gives base::last_error().
+    bool start();
+
+    /// @brief Sends one call; the callback runs exactly once.
+    void call(const wire::endpoint& peer, wire::message_type type,
+              std::string payload, std::chrono::milliseconds timeout,
+              peer_callback done);
+
+    void stop();
+
+private:
+    struct impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace mustardwick::aio
--- a/include/mustardwick/caller/job_service.hpp
+++ b/include/mustardwick/caller/job_service.hpp
@@ -7,7 +7,7 @@
 
 #include "mustardwick/coordination/group_commit.hpp"
 #include "mustardwick/coordination/records.hpp"
-#include "mustardwick/platform/table.hpp"
+#include "mustardwick/ports/table.hpp"
 
 namespace mustardwick::caller
 {
@@ -33,7 +33,7 @@
     /// @brief Wakes the planner after a submission or a cancellation.
     using nudge_function = std::function<void()>;
 
-    job_service(platform::table table, coordination::group_commit& writes,
+    job_service(ports::table table, coordination::group_commit& writes,
                 nudge_function nudge);
 
     /// @brief Accepts a job; its id makes a repeated submission harmless.
@@ -54,7 +54,7 @@
     std::optional<coordination::job_record>
     read_job(const std::string& id, const std::string& team) const;
 
-    platform::table table_;
+    ports::table table_;
     coordination::group_commit& writes_;
     nudge_function nudge_;
 };
--- a/include/mustardwick/coordination/claim_log.hpp
+++ b/include/mustardwick/coordination/claim_log.hpp
@@ -6,7 +6,7 @@
 
 #include "mustardwick/coordination/group_commit.hpp"
 #include "mustardwick/coordination/records.hpp"
-#include "mustardwick/platform/table.hpp"
+#include "mustardwick/ports/table.hpp"
 
 namespace mustardwick::coordination
 {
@@ -32,7 +32,7 @@
 class claim_log
 {
 public:
-    claim_log(platform::table table, group_commit& writes);
+    claim_log(ports::table table, group_commit& writes);
 
     /// @brief Commits a claim; version receives that of its row.
     ///
@@ -57,7 +57,7 @@
     claim_result write(const std::string& key, const claim_record& record,
                        std::uint64_t expected, std::uint64_t& version);
 
-    platform::table table_;
+    ports::table table_;
     group_commit& writes_;
 };
 
--- a/include/mustardwick/coordination/config_store.hpp
+++ b/include/mustardwick/coordination/config_store.hpp
@@ -14,7 +14,7 @@
 #include "mustardwick/base/clock.hpp"
 #include "mustardwick/coordination/promise_book.hpp"
 #include "mustardwick/coordination/resources.hpp"
-#include "mustardwick/platform/table.hpp"
+#include "mustardwick/ports/table.hpp"
 
 namespace mustardwick::coordination
 {
@@ -65,7 +65,7 @@
 class config_store
 {
 public:
-    config_store(platform::table table, const base::clock& time,
+    config_store(ports::table table, const base::clock& time,
                  std::chrono::milliseconds freshness, promise_book& promises);
 
     /// @brief Reads the head and applies the changes since; false when the
@@ -90,7 +90,7 @@
     ///
     /// Peers vouch for each other without asking a fenced daemon, so that it
     /// must not change anything. Call before the first change.
-    void guard_changes(std::function<std::optional<platform::check>()> own_row);
+    void guard_changes(std::function<std::optional<ports::check>()> own_row);
 
     /// @brief Commits one change.
     std::optional<change_result> change(const change_request& request);
@@ -110,15 +110,15 @@
     bool reload(std::uint64_t version);
     bool apply_log(std::uint64_t version);
     void publish(std::shared_ptr<const configuration> value);
-    platform::transaction build_change(const change_request& request,
-                                       const platform::row& head,
+    ports::transaction build_change(const change_request& request,
+                                       const ports::row& head,
                                        std::uint64_t version) const;
 
-    platform::table table_;
+    ports::table table_;
     const base::clock& clock_;
     std::chrono::milliseconds freshness_;
     promise_book& promises_;
-    std::function<std::optional<platform::check>()> own_row_;
+    std::function<std::optional<ports::check>()> own_row_;
     mutable std::mutex mutex_;
     std::shared_ptr<const configuration> current_;
     base::steady_time confirmed_at_{};
--- a/include/mustardwick/coordination/group_commit.hpp
+++ b/include/mustardwick/coordination/group_commit.hpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "mustardwick/base/metrics.hpp"
-#include "mustardwick/platform/table.hpp"
+#include "mustardwick/ports/table.hpp"
 
 namespace mustardwick::coordination
 {
@@ -19,13 +19,13 @@
 /// @brief Writes that must commit together, independent of other groups.
 struct group_write
 {
-    std::vector<platform::check> checks;
-    std::vector<platform::put> puts;
+    std::vector<ports::check> checks;
+    std::vector<ports::put> puts;
 };
 
 struct group_result
 {
-    platform::commit_state state = platform::commit_state::unknown;
+    ports::commit_state state = ports::commit_state::unknown;
     std::uint64_t revision = 0;
 };
 
@@ -37,7 +37,7 @@
 class group_commit
 {
 public:
-    group_commit(platform::table table, std::chrono::milliseconds interval,
+    group_commit(ports::table table, std::chrono::milliseconds interval,
                  base::metrics& metrics);
     ~group_commit();
     group_commit(const group_commit&) = delete;
@@ -69,7 +69,7 @@
     std::deque<item> take_batch();
     std::future<group_result> enqueue(group_write write);
 
-    platform::table table_;
+    ports::table table_;
     std::chrono::milliseconds interval_;
     base::metrics& metrics_;
     std::mutex mutex_;
--- a/include/mustardwick/coordination/job_book.hpp
+++ b/include/mustardwick/coordination/job_book.hpp
@@ -14,8 +14,8 @@
 #include "mustardwick/base/clock.hpp"
 #include "mustardwick/coordination/records.hpp"
 #include "mustardwick/coordination/resources.hpp"
-#include "mustardwick/platform/table.hpp"
-#include "mustardwick/platform/worker.hpp"
+#include "mustardwick/ports/table.hpp"
+#include "mustardwick/ports/worker.hpp"
 #include "mustardwick/policy/cell.hpp"
 #include "mustardwick/policy/scheduler.hpp"
 #include "mustardwick/wire/messages.hpp"
@@ -30,7 +30,7 @@
 {
     std::map<std::string, std::string> puts;
     std::set<std::string> deletes;
-    std::map<std::string, platform::task_orders> orders;
+    std::map<std::string, ports::task_orders> orders;
     /// The lease under which the orders of a host were decided.
     std::map<std::string, std::string> leases;
     std::vector<wire::recorded_attempt> recorded;
@@ -56,8 +56,8 @@
     job_book(const base::clock& time, id_function new_attempt_id);
 
     /// @brief Restores the state from the rows of the table.
-    void load(std::span<const platform::row> jobs,
-              std::span<const platform::row> tasks);
+    void load(std::span<const ports::row> jobs,
+              std::span<const ports::row> tasks);
 
     /// @brief Brings hosts and teams in line with the configuration.
     void configure(const configuration& config);
--- a/include/mustardwick/coordination/member_registry.hpp
+++ b/include/mustardwick/coordination/member_registry.hpp
@@ -12,7 +12,7 @@
 
 #include "mustardwick/base/clock.hpp"
 #include "mustardwick/coordination/records.hpp"
-#include "mustardwick/platform/table.hpp"
+#include "mustardwick/ports/table.hpp"
 
 namespace mustardwick::coordination
 {
@@ -32,7 +32,7 @@
 class member_registry
 {
 public:
-    member_registry(platform::table table, const base::clock& time,
+    member_registry(ports::table table, const base::clock& time,
                     member_record self, std::chrono::milliseconds authority);
 
     /// @brief Writes the own row with the next incarnation.
@@ -61,7 +61,7 @@
 
     /// @brief The check that a transaction applies only while this daemon is
     /// not fenced; empty while it is not registered.
-    std::optional<platform::check> own_row() const;
+    std::optional<ports::check> own_row() const;
 
     bool has_authority() const;
 
@@ -75,7 +75,7 @@
     bool write_self(bool leaving);
     bool adopt_write_in_doubt();
 
-    platform::table table_;
+    ports::table table_;
     const base::clock& clock_;
     std::chrono::milliseconds authority_;
     mutable std::mutex mutex_;
--- a/include/mustardwick/coordination/order_service.hpp
+++ b/include/mustardwick/coordination/order_service.hpp
@@ -6,7 +6,7 @@
 #include "mustardwick/base/time_line.hpp"
 #include "mustardwick/coordination/config_store.hpp"
 #include "mustardwick/coordination/worker_leases.hpp"
-#include "mustardwick/platform/worker.hpp"
+#include "mustardwick/ports/worker.hpp"
 #include "mustardwick/wire/messages.hpp"
 
 namespace mustardwick::coordination
@@ -16,7 +16,7 @@
 class order_service
 {
 public:
-    order_service(worker_leases& leases, platform::workers workers,
+    order_service(worker_leases& leases, ports::workers workers,
                   const config_store& config, base::time_line& events);
 
     /// @brief Carries out orders under the lease they name.
@@ -27,10 +27,10 @@
 
 private:
     std::vector<std::string> refuse_starts(const wire::deliver& orders,
-                                           platform::task_orders& out) const;
+                                           ports::task_orders& out) const;
 
     worker_leases& leases_;
-    platform::workers workers_;
+    ports::workers workers_;
     const config_store& config_;
     base::time_line& events_;
 };
--- a/include/mustardwick/coordination/planner.hpp
+++ b/include/mustardwick/coordination/planner.hpp
@@ -26,7 +26,7 @@
 /// @brief What the planner needs from the rest of the daemon.
 struct planner_links
 {
-    platform::table table;
+    ports::table table;
     planner_duty& duty;
     const config_store& config;
     const base::clock& clock;
@@ -83,7 +83,7 @@
 private:
     void run();
     bool load(std::uint64_t duty_version);
-    bool is_current(const std::optional<platform::check>& guard) const;
+    bool is_current(const std::optional<ports::check>& guard) const;
     void sync_configuration();
     void read_inbox();
     bool take_message(std::string_view operation, const std::string& job);
--- a/include/mustardwick/coordination/planner_duty.hpp
+++ b/include/mustardwick/coordination/planner_duty.hpp
@@ -8,7 +8,7 @@
 #include "mustardwick/coordination/cluster_view.hpp"
 #include "mustardwick/coordination/member_registry.hpp"
 #include "mustardwick/coordination/records.hpp"
-#include "mustardwick/platform/table.hpp"
+#include "mustardwick/ports/table.hpp"
 
 namespace mustardwick::coordination
 {
@@ -20,7 +20,7 @@
 class planner_duty
 {
 public:
-    planner_duty(platform::table table, const member_registry& registry,
+    planner_duty(ports::table table, const member_registry& registry,
                  const cluster_view& view);
 
     /// @brief Reads the row and takes the duty when this daemon should have
@@ -28,7 +28,7 @@
     bool tick();
 
     /// @brief The check that guards each transaction; empty when not held.
-    std::optional<platform::check> guard() const;
+    std::optional<ports::check> guard() const;
 
     bool is_held() const
     {
@@ -47,10 +47,10 @@
 
 private:
     bool should_take(const duty_record& record) const;
-    bool take(const platform::row& row, const duty_record& record);
+    bool take(const ports::row& row, const duty_record& record);
     void note(const duty_record& record, std::uint64_t version);
 
-    platform::table table_;
+    ports::table table_;
     const member_registry& registry_;
     const cluster_view& view_;
     mutable std::mutex mutex_;
--- a/include/mustardwick/coordination/request_escrow.hpp
+++ b/include/mustardwick/coordination/request_escrow.hpp
@@ -12,7 +12,7 @@
 #include "mustardwick/base/clock.hpp"
 #include "mustardwick/coordination/config_store.hpp"
 #include "mustardwick/coordination/records.hpp"
-#include "mustardwick/platform/table.hpp"
+#include "mustardwick/ports/table.hpp"
 
 namespace mustardwick::coordination
 {
@@ -20,7 +20,7 @@
 /// @brief What the escrow needs from the rest of the daemon.
 struct escrow_links
 {
-    platform::table table;
+    ports::table table;
     const config_store& config;
     const base::clock& clock;
     /// Name and incarnation of this daemon: a restarted daemon must not use
--- a/include/mustardwick/coordination/request_owner.hpp
+++ b/include/mustardwick/coordination/request_owner.hpp
@@ -19,7 +19,7 @@
 #include "mustardwick/coordination/config_store.hpp"
 #include "mustardwick/coordination/request_escrow.hpp"
 #include "mustardwick/coordination/worker_leases.hpp"
-#include "mustardwick/platform/worker.hpp"
+#include "mustardwick/ports/worker.hpp"
 #include "mustardwick/wire/messages.hpp"
 
 namespace mustardwick::coordination
@@ -28,7 +28,7 @@
 struct request_owner_links
 {
     worker_leases& leases;
-    platform::workers workers;
+    ports::workers workers;
     const config_store& config;
     request_escrow& escrow;
     claim_log& claims;
--- a/include/mustardwick/coordination/worker_leases.hpp
+++ b/include/mustardwick/coordination/worker_leases.hpp
@@ -17,7 +17,7 @@
 #include "mustardwick/coordination/cluster_view.hpp"
 #include "mustardwick/coordination/config_store.hpp"
 #include "mustardwick/coordination/settings.hpp"
-#include "mustardwick/platform/worker.hpp"
+#include "mustardwick/ports/worker.hpp"
 #include "mustardwick/wire/messages.hpp"
 
 namespace mustardwick::coordination
@@ -27,14 +27,14 @@
 struct held_lease
 {
     std::string lease;
-    platform::worker_address worker;
+    ports::worker_address worker;
 };
 
 /// @brief What the keeper of leases needs from the rest of the daemon.
 struct worker_leases_links
 {
-    platform::table table;
-    platform::workers workers;
+    ports::table table;
+    ports::workers workers;
     const member_registry& registry;
     const cluster_view& view;
     const config_store& config;
@@ -107,8 +107,8 @@
     void send_report(wire::task_events events);
     void probe(const entry_ptr& it);
     void renew(const std::vector<entry_ptr>& group);
-    void finish_renewal(const entry_ptr& it, const platform::renewal& renewal,
-                        const platform::renewal_result& result,
+    void finish_renewal(const entry_ptr& it, const ports::renewal& renewal,
+                        const ports::renewal_result& result,
                         base::steady_time sent);
     void note_silence(const entry_ptr& it);
     /// @brief Empty when the table did not answer.
--- /dev/null
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "mustardwick/base/clock.hpp"
+#include "mustardwick/jobs/worker.hpp"
+
+namespace mustardwick::dispatch
+{
+
+/// @brief How far a run has come, as far as the planner knows.
+enum class run_phase
+{
+    /// The assignment is not durable yet.
+    recording,
+    /// The order is on its way, or its answer was lost.
+    ordered,
+    /// A former leader assigned it; the worker has not been asked yet.
+    inherited,
+    started,
+    stopping
+};
+
+using run_key = std::pair<jobs::task_key, int>;
+
+/// @brief One run that occupies room on a worker.
+struct running
+{
+    jobs::task_key task;
+    int run = 0;
+    policy::resources size;
+    std::string account;
+    /// Serves users and must not be slowed by its neighbours.
+    bool serves_users = false;
+    /// Uses only what other tasks leave.
+    bool uses_leftover = false;
+    run_phase phase = run_phase::recording;
+    /// Worker's clock after which an unanswered order is void.
+    std::int64_t void_after_ms = 0;
+    /// Worker's clock when the start was answered.
+    std::int64_t started_clock_ms = 0;
+    base::steady_time started;
+    std::string checkpoint;
+    base::steady_time stop_sent;
+    /// Worker's clock when a stop was answered; the run cannot begin later.
+    std::int64_t stopped_clock_ms = 0;
+};
+
+/// @brief What the planner knows of one worker.
+struct host_state
+{
+    jobs::worker_info info;
+    /// The registry lists it.
+    bool listed = false;
+    /// It answered a renewal of this leader in its present life.
+    bool adopted = false;
+    /// The last renewal was answered.
+    bool reachable = false;
+    std::int64_t born_ms = 0;
+    /// A reading of the worker's clock and when it was received.
+    std::int64_t clock_ms = 0;
+    base::steady_time clock_read;
+    /// Nothing runs there after this time unless the lease is renewed.
+    base::steady_time lease_bound;
+    /// Highest end that was applied, and ends whose effects are not durable.
+    std::int64_t applied_end = 0;
+    std::set<std::int64_t> undurable_ends;
+    std::map<run_key, running> runs;
+    policy::resources used;
+    /// Failed runs since the last one that finished.
+    int failures_in_a_row = 0;
+    /// No new work before this time.
+    base::steady_time avoid_until;
+
+    policy::resources free() const
+    {
+        return info.capacity - used;
+    }
+};
+
+/// @brief What a client account has running.
+struct account_usage
+{
+    policy::resources used;
+};
+
+} // namespace mustardwick::dispatch
--- /dev/null
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "mustardwick/base/clock.hpp"
+#include "mustardwick/dispatch/orders.hpp"
+#include "mustardwick/jobs/record.hpp"
+#include "mustardwick/policy/advice_plan.hpp"
+
+namespace mustardwick::dispatch
+{
+
+/// @brief A permission and when it ends.
+struct held_ticket
+{
+    std::string ticket;
+    base::steady_time expires;
+};
+
+/// @brief Volatile state of one step of one occurrence.
+struct step_run
+{
+    std::map<std::string, held_ticket, std::less<>> tickets;
+    /// Workers that the policy does not allow; this never changes for a step.
+    std::set<std::string, std::less<>> denied;
+    bool question_open = false;
+    base::steady_time next_question;
+    /// Failures of an all-at-once step count once for each run number.
+    int failed_run = 0;
+    /// Time before which no task of the step is started again.
+    base::steady_time not_before;
+};
+
+/// @brief An end of a run whose effect waits to become durable.
+struct applied_end
+{
+    std::string worker;
+    std::int64_t worker_born_ms = 0;
+    std::int64_t number = 0;
+};
+
+/// @brief One job with its durable record and what depends on writing it.
+struct job_run
+{
+    jobs::job specification;
+    jobs::job_record record;
+    /// By position in record.open, then by step.
+    std::vector<std::vector<step_run>> steps;
+    std::uint64_t number = 0;
+    base::steady_time arrived;
+    /// What callers are shown; final states only once they are durable.
+    jobs::job_state shown = jobs::job_state::queued;
+    bool specification_stored = false;
+    bool dirty = false;
+    bool removed = false;
+    /// Released when the record is durable.
+    std::vector<start_order> starts;
+    std::vector<applied_end> ends;
+    std::vector<std::function<void()>> replies;
+};
+
+} // namespace mustardwick::dispatch
--- /dev/null
+++ b/include/mustardwick/dispatch/orders.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "mustardwick/jobs/job.hpp"
+#include "mustardwick/jobs/worker.hpp"
+
+namespace mustardwick::dispatch
+{
+
+/// @brief Start one run on a worker.
+struct start_order
+{
+    std::string worker;
+    jobs::task_key task;
+    int run = 0;
+    std::string payload;
+    std::string checkpoint;
+    /// Permission of the advice service; empty when none is needed.
+    std::string ticket;
+    /// On the worker's clock; the order has no effect after it.
+    std::int64_t deadline_ms = 0;
+};
+
+/// @brief Stop one run on a worker.
+struct stop_order
+{
+    std::string worker;
+    jobs::task_key task;
+    int run = 0;
+};
+
+/// @brief Ask which of some workers may run a step.
+struct advice_question
+{
+    std::string job;
+    std::int64_t occurrence = 0;
+    int step = 0;
+    std::vector<std::string> workers;
+    int priority = 0;
+    std::int64_t expected_ms = 0;
+};
+
+/// @brief Permission to run a step on a worker.
+struct advice_ticket
+{
+    std::string worker;
+    std::string ticket;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(worker, ticket);
+    }
+};
+
+/// @brief Everything that the planner wants done outside.
+struct orders
+{
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
+    std::vector<advice_question> questions;
+};
+
+/// @brief Durable rows of one job to write or remove.
+struct row_change
+{
+    std::string job;
+    /// Encoded jobs::job; empty when it is stored already.
+    std::string specification;
+    /// Encoded jobs::job_record; empty when the rows are removed.
+    std::string progress;
+};
+
+} // namespace mustardwick::dispatch
--- /dev/null
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -0,0 +1,205 @@
+#pragma once
+
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "mustardwick/base/clock.hpp"
+#include "mustardwick/base/metrics.hpp"
+#include "mustardwick/dispatch/host_state.hpp"
+#include "mustardwick/dispatch/job_run.hpp"
+#include "mustardwick/dispatch/orders.hpp"
+#include "mustardwick/jobs/configuration.hpp"
+#include "mustardwick/policy/urgency.hpp"
+
+namespace mustardwick::dispatch
+{
+
+struct planner_options
+{
+    /// Longest lease that a worker grants.
+    std::chrono::milliseconds max_lease{6000};
+    /// Validity of a start order on the worker's clock. An order without an
+    /// answer is void after it, which bounds how long its room stays blocked.
+    std::chrono::milliseconds start_validity{1500};
+    /// How long a former leader may go on renewing leases.
+    std::chrono::milliseconds former_authority{2500};
+    /// How long the state of a finished job can be queried.
+    std::chrono::milliseconds retention{120'000};
+    /// How early a timed occurrence may start.
+    std::chrono::milliseconds early_start{200};
+};
+
+/// @brief Outcome of a cancellation.
+enum class cancel_result
+{
+    cancelled,
+    unknown_job
+};
+
+/// @brief Decides about all submitted work of a cell; does no I/O.
+///
+/// State changes are made durable by the caller: next_commit() hands out the
+/// rows that changed, commit_done() releases what depended on them. A start is
+/// released only once its assignment is durable, so that a successor knows of
+/// every worker on which a task may be running.
+class planner
+{
+public:
+    using time_point = base::steady_time;
+    using accepted = std::function<void()>;
+    using cancelled = std::function<void(cancel_result)>;
+
+    planner(const base::clock& time, planner_options options,
+            base::metrics& metrics);
+
+    /// @name Inputs
+    /// @{
+    void set_configuration(jobs::configuration value);
+    void set_evacuated(std::set<std::string, std::less<>> failure_domains);
+    /// @brief Restores a job that a former leader stored.
+    void restore(jobs::job specification, jobs::job_record record);
+    void worker_listed(const jobs::worker_info& info);
+    void worker_unlisted(const std::string& id);
+    void worker_reported(const std::string& id, const jobs::worker_report& it);
+    /// @brief A renewal was not answered.
+    void worker_silent(const std::string& id);
+    void start_answered(const start_order& order,
+                        const jobs::order_reply& reply);
+    void stop_answered(const stop_order& order,
+                       const jobs::order_reply& reply);
+    void advice_answered(const advice_question& question,
+                         std::optional<std::vector<advice_ticket>> allowed,
+                         time_point asked);
+    /// @}
+
+    /// @name Callers
+    /// @{
+    /// @brief Calls back once the job is durable; the same id is one job.
+    void submit(jobs::job specification, accepted done);
+    void cancel(const std::string& id, cancelled done);
+    std::optional<jobs::job_state> state_of(const std::string& id) const;
+    /// @brief Accepted jobs of a queue of which no task has started.
+    std::size_t waiting_jobs(std::string_view queue) const;
+    /// @}
+
+    /// @name Durable state
+    /// @{
+    /// @brief Rows to write now; empty when nothing changed or a commit is
+    /// under way.
+    std::vector<row_change> next_commit(std::size_t max_rows,
+                                        std::size_t max_bytes);
+    void commit_done();
+    bool commit_in_flight() const
+    {
+        return committing_.has_value();
+    }
+    bool has_changes() const
+    {
+        return !dirty_.empty();
+    }
+    /// @}
+
+    /// @brief Decides placements and takes what is to be sent.
+    orders take_orders();
+
+    /// @brief The deadline of a lease that is renewed now; none before the
+    /// worker's clock is known. Notes that the lease may last until then.
+    std::optional<std::int64_t> lease_deadline(const std::string& id);
+    std::int64_t acknowledged_end(const std::string& id) const;
+    const std::map<std::string, host_state, std::less<>>& hosts() const
+    {
+        return hosts_;
+    }
+
+private:
+    struct effects
+    {
+        std::vector<start_order> starts;
+        std::vector<applied_end> ends;
+        std::vector<std::pair<std::string, jobs::job_state>> states;
+        std::vector<std::function<void()>> replies;
+        std::vector<std::string> removed;
+    };
+    struct candidate;
+    struct ready_step;
+
+    // planner.cpp
+    job_run* find_job(const std::string& id);
+    void mark_dirty(job_run& job);
+    void open_occurrence(job_run& job, std::int64_t number);
+    void open_due_occurrences(job_run& job);
+    void close_occurrence(job_run& job, std::size_t position);
+    void finish_job(job_run& job, jobs::job_state state);
+    void drop_expired_jobs();
+    account_usage& usage_of(const std::string& account);
+    void release_starts(std::vector<start_order> starts);
+
+    // planner_runs.cpp
+    void add_run(host_state& host, const job_run& job,
+                 const jobs::task_key& task, int run, run_phase phase);
+    void remove_run(host_state& host, const run_key& key);
+    jobs::task_record* find_task(const jobs::task_key& task);
+    step_run* find_step(const jobs::task_key& task);
+    void requeue(const jobs::task_key& task, int run,
+                 const std::string& checkpoint);
+    void run_lost(host_state& host, const run_key& key,
+                  std::string_view reason);
+    void apply_end(host_state& host, const jobs::ended_run& end);
+    void task_done(job_run& job, const jobs::task_key& task);
+    void task_failed(job_run& job, const jobs::task_key& task, int run);
+    void stop_run(host_state& host, running& it);
+    void stop_step_runs(const job_run& job, std::int64_t occurrence, int step);
+    void forget_life(host_state& host);
+    void settle_lost_leases();
+    void compare_with_report(host_state& host,
+                             const jobs::worker_report& report);
+    void note_listed_run(host_state& host, const jobs::running_run& listed);
+    bool is_gone(const running& it, std::int64_t clock_ms) const;
+    std::int64_t estimated_clock(const host_state& host) const;
+    void note_clock(host_state& host, std::int64_t clock_ms);
+
+    // planner_place.cpp
+    void place_waiting_steps();
+    std::vector<ready_step> collect_ready_steps();
+    void place_step(const ready_step& step);
+    std::vector<candidate> find_candidates(const ready_step& step,
+                                           std::vector<candidate>& unknown);
+    int account_room(const job_run& job, const policy::resources& size);
+    bool is_usable(const host_state& host, std::string_view service) const;
+    int slots_on(const host_state& host, const ready_step& step) const;
+    policy::waiting_step outlook_inputs(const job_run& job,
+                                        const jobs::queue& queue) const;
+    void assign(const ready_step& step, int index, int run,
+                host_state& host, const std::string& ticket);
+    void ask_advice(const ready_step& step, std::vector<candidate> unknown,
+                    int missing);
+
+    const base::clock& clock_;
+    planner_options options_;
+    base::metrics& metrics_;
+    jobs::configuration configuration_;
+    std::set<std::string, std::less<>> evacuated_;
+    std::unordered_map<std::string, job_run> jobs_;
+    /// Jobs that have not ended, oldest first.
+    std::map<std::uint64_t, std::string> active_;
+    std::map<std::string, host_state, std::less<>> hosts_;
+    std::map<std::string, account_usage, std::less<>> accounts_;
+    std::map<std::string, policy::allowed_share, std::less<>> allowed_share_;
+    std::deque<std::string> dirty_;
+    std::optional<effects> committing_;
+    orders outbox_;
+    bool placement_due_ = false;
+    time_point next_placement_;
+    std::uint64_t next_number_ = 0;
+    time_point created_;
+    time_point next_sweep_;
+};
+
+} // namespace mustardwick::dispatch
--- /dev/null
+++ b/include/mustardwick/durable/rows.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace mustardwick::durable
+{
+
+/// @brief Address of one row of the store.
+struct row_address
+{
+    std::string table;
+    std::string partition;
+    std::string key;
+
+    auto operator<=>(const row_address&) const = default;
+};
+
+struct row
+{
+    row_address address;
+    std::string value;
+    std::int64_t version = 0;
+    bool deleted = false;
+};
+
+/// @brief A row must have this version; 0 means that it must not exist.
+struct row_condition
+{
+    row_address address;
+    std::int64_t version = 0;
+};
+
+struct row_write
+{
+    row_address address;
+    std::string value;
+};
+
+/// @brief Conditions and changes that apply together or not at all.
+struct transaction
+{
+    std::vector<row_condition> conditions;
+    std::vector<row_write> writes;
+    std::vector<row_address> removals;
+};
+
+enum class store_end
+{
+    done,
+    /// A condition did not hold; the answer carries the current rows.
+    conflict,
+    /// The store did nothing, or was not reached.
+    refused,
+    /// The changes asked for reach further back than the kept history.
+    history_gone,
+    /// No answer; the call may still take effect.
+    unknown
+};
+
+struct store_reply
+{
+    store_end end = store_end::unknown;
+    std::vector<row> rows;
+    /// The store's newest version when it answered.
+    std::int64_t version = 0;
+    bool has_more = false;
+    std::string reason;
+
+    bool ok() const
+    {
+        return end == store_end::done;
+    }
+};
+
+using store_callback = std::function<void(store_reply)>;
+
+} // namespace mustardwick::durable
--- /dev/null
+++ b/include/mustardwick/entry/advice_pool.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "mustardwick/aio/peer_hub.hpp"
+#include "mustardwick/base/clock.hpp"
+#include "mustardwick/base/metrics.hpp"
+#include "mustardwick/entry/messages.hpp"
+#include "platform/advice_client.hpp"
+
+namespace mustardwick::entry
+{
+
+/// @brief Spreads the leader's questions over the advice channels of all
+/// members; each host has one.
+///
+/// Load pattern: long questions of wide steps and many short ones of urgent
+/// jobs. Long ones get only a part of the channels.
+class advice_pool : public std::enable_shared_from_this<advice_pool>
+{
+public:
+    using answer = std::function<void(
+        const dispatch::advice_question&,
+        std::optional<std::vector<dispatch::advice_ticket>>,
+        base::steady_time asked)>;
+    using member_list = std::function<std::vector<member_record>()>;
+
+    advice_pool(const base::clock& time, aio::peer_hub& peers,
+                platform::advice_client& local, base::metrics& metrics,
+                member_list members, answer done);
+
+    void ask(dispatch::advice_question question);
+    void stop();
+
+private:
+    struct channel
+    {
+        int open = 0;
+        base::steady_time avoid_until;
+    };
+
+    void dispatch_waiting();
+    bool send(const dispatch::advice_question& question,
+              const std::vector<member_record>& members);
+    void finished(const std::string& member, bool is_long,
+                  const dispatch::advice_question& question,
+                  std::optional<std::vector<dispatch::advice_ticket>> allowed,
+                  base::steady_time asked);
+
+    const base::clock& clock_;
+    aio::peer_hub& peers_;
+    platform::advice_client& local_;
+    base::metrics& metrics_;
+    member_list members_;
+    answer done_;
+    /// Most urgent first; in order of arrival within a priority.
+    std::list<dispatch::advice_question> waiting_;
+    std::map<std::string, channel> channels_;
+    std::size_t long_open_ = 0;
+    bool stopped_ = false;
+};
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "mustardwick/aio/peer_hub.hpp"
+#include "mustardwick/entry/advice_pool.hpp"
+#include "mustardwick/entry/config_watch.hpp"
+#include "mustardwick/entry/member_beats.hpp"
+#include "mustardwick/entry/settings.hpp"
+#include "mustardwick/entry/state_log.hpp"
+#include "mustardwick/entry/worker_links.hpp"
+
+namespace mustardwick::entry
+{
+
+/// @brief Everything that the daemon with the duty does: loads the durable
+/// state, plans, and keeps workers, members and the store in step.
+class cell_leader : public std::enable_shared_from_this<cell_leader>
+{
+public:
+    struct environment
+    {
+        boost::asio::io_context& io;
+        const base::clock& clock;
+        const settings& options;
+        platform::store_client& store;
+        aio::peer_hub& peers;
+        platform::advice_client& advice;
+        base::metrics& metrics;
+    };
+    /// Called once when the duty is lost; names the member that should take
+    /// it when there is one.
+    using lost_handler = std::function<void(std::optional<member_record>)>;
+
+    cell_leader(environment env, head_record head, std::int64_t head_version,
+                lost_handler lost);
+
+    void start(const operator_state& state);
+    /// @brief Ends all activity without a further call to the lost handler.
+    void stop();
+    void configure(const operator_state& state);
+    void member_joined(const member_record& record);
+
+    /// @brief Gives up the duty in the store, then reports it as lost.
+    void release();
+
+    /// @brief Answers a message about jobs; false when the state is not
+    /// loaded yet.
+    bool handle(wire::message_type type, const std::string& payload,
+                const aio::peer_responder& respond);
+
+    std::int64_t epoch() const
+    {
+        return head_.epoch;
+    }
+
+private:
+    struct stored_job
+    {
+        std::optional<jobs::job> specification;
+        std::optional<jobs::job_record> record;
+    };
+
+    void load_table(const std::string& table, const std::string& from);
+    void load_members();
+    void loaded();
+    void poll_registry(bool whole);
+    void apply_registry(const std::vector<durable::row>& rows, bool whole);
+    void schedule_work();
+    void work();
+    void pump_commits();
+    void committed(bool durable);
+    void keep_duty();
+    void step_down(std::string_view reason,
+                   std::optional<member_record> successor);
+    bool has_authority() const;
+
+    environment env_;
+    head_record head_;
+    lost_handler lost_;
+    std::shared_ptr<state_log> log_;
+    std::shared_ptr<member_beats> beats_;
+    std::shared_ptr<advice_pool> advice_;
+    std::shared_ptr<worker_links> workers_;
+    dispatch::planner planner_;
+    boost::asio::steady_timer work_timer_;
+    boost::asio::steady_timer registry_timer_;
+    boost::asio::steady_timer duty_timer_;
+    std::map<std::string, stored_job> stored_;
+    std::set<std::string> known_workers_;
+    std::int64_t registry_version_ = 0;
+    bool work_scheduled_ = false;
+    bool loaded_ = false;
+    bool stopped_ = false;
+    bool releasing_ = false;
+};
+
+/// @name Rows of the cell
+/// @{
+inline const std::string cell_table = "cell";
+inline const std::string job_table = "jobs";
+inline const std::string progress_table = "progress";
+/// All rows that one transaction may have to change together.
+inline const std::string plan_partition = "plan";
+inline const std::string member_partition = "members";
+inline const std::string head_key = "head";
+inline const std::string secret_key = "secret";
+/// @}
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/include/mustardwick/entry/config_watch.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "mustardwick/jobs/configuration.hpp"
+#include "platform/store_client.hpp"
+
+namespace mustardwick::entry
+{
+
+/// @brief What the operator asks for, as the store has it.
+struct operator_state
+{
+    std::optional<jobs::configuration> configuration;
+    /// The configuration as the operator wrote it.
+    std::string configuration_text;
+    std::set<std::string, std::less<>> evacuated;
+};
+
+/// @brief Follows the operator's table; versions never go back.
+class config_watch : public std::enable_shared_from_this<config_watch>
+{
+public:
+    using change_handler = std::function<void(const operator_state&)>;
+
+    config_watch(boost::asio::io_context& io, platform::store_client& store,
+                 change_handler changed);
+
+    void start();
+    void stop();
+    /// @brief Takes a configuration that another daemon has read.
+    void offer(const std::string& text);
+
+    const operator_state& state() const
+    {
+        return state_;
+    }
+
+private:
+    void read_all();
+    void follow();
+    void retry(bool reread);
+    void apply(const std::vector<durable::row>& rows);
+    void apply_configuration(const std::string& text);
+
+    boost::asio::steady_timer timer_;
+    platform::store_client& store_;
+    change_handler changed_;
+    operator_state state_;
+    std::int64_t version_ = 0;
+    bool connected_ = true;
+    bool stopped_ = false;
+};
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/include/mustardwick/entry/duty_seeker.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "mustardwick/base/clock.hpp"
+#include "mustardwick/entry/messages.hpp"
+#include "platform/store_client.hpp"
+
+namespace mustardwick::entry
+{
+
+/// @brief Takes the leader's duty when its holder is gone.
+///
+/// The head row decides: a daemon that has heard nothing from the leader
+/// watches the row, and replaces it under a condition once its version has
+/// stood still for longer than a leader's renewal takes.
+class duty_seeker : public std::enable_shared_from_this<duty_seeker>
+{
+public:
+    struct events
+    {
+        std::function<void(head_record, std::int64_t version)> acquired;
+        /// The head row names this leader.
+        std::function<void(const head_record&)> leader_seen;
+    };
+
+    duty_seeker(boost::asio::io_context& io, const base::clock& time,
+                platform::store_client& store, member_record self, events on);
+
+    void start();
+    void stop();
+    /// @brief The leader gave a sign of life.
+    void heard();
+    /// @brief The leader's process is gone.
+    void leader_gone();
+    /// @brief The leader hands the duty over.
+    void take_now();
+    /// @brief While this daemon leads or shuts down.
+    void set_paused(bool paused);
+
+private:
+    void tick();
+    void read_head();
+    void head_read(const durable::store_reply& reply);
+    void acquire(std::int64_t epoch, std::int64_t version);
+    void acquired(std::int64_t version);
+
+    boost::asio::steady_timer timer_;
+    const base::clock& clock_;
+    platform::store_client& store_;
+    member_record self_;
+    events on_;
+    base::steady_time last_heard_;
+    base::steady_time next_read_;
+    std::optional<std::int64_t> observed_version_;
+    base::steady_time observed_since_;
+    std::optional<head_record> attempt_;
+    bool take_now_ = false;
+    bool call_open_ = false;
+    bool paused_ = false;
+    bool stopped_ = false;
+};
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/include/mustardwick/entry/gateway.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "mustardwick/aio/http_listener.hpp"
+#include "mustardwick/base/clock.hpp"
+#include "mustardwick/base/metrics.hpp"
+#include "mustardwick/entry/config_watch.hpp"
+#include "mustardwick/entry/messages.hpp"
+#include "mustardwick/wire/frame.hpp"
+
+namespace mustardwick::entry
+{
+
+/// @brief Outcome of a call to the leader.
+struct leader_result
+{
+    std::optional<job_reply> reply;
+    /// The call may have reached a leader.
+    bool maybe_sent = false;
+};
+
+/// @brief Takes the callers' requests and passes them to the leader.
+class gateway
+{
+public:
+    using leader_call = std::function<void(
+        wire::message_type, std::string payload, base::steady_time deadline,
+        std::function<void(leader_result)>)>;
+
+    gateway(const base::clock& time, base::metrics& metrics,
+            const operator_state& state, leader_call call);
+
+    void handle(aio::incoming_request request, aio::responder respond);
+
+private:
+    struct call_context;
+
+    void submit(const call_context& context, const std::string& body);
+    void query(const call_context& context);
+    void cancel(const call_context& context);
+    void count(const call_context& context);
+    std::optional<std::string> account_of(const aio::incoming_request& request,
+                                          const jobs::queue& queue) const;
+
+    const base::clock& clock_;
+    base::metrics& metrics_;
+    const operator_state& state_;
+    leader_call call_;
+};
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/include/mustardwick/entry/member_beats.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "mustardwick/aio/peer_hub.hpp"
+#include "mustardwick/base/clock.hpp"
+#include "mustardwick/entry/messages.hpp"
+
+namespace mustardwick::entry
+{
+
+/// @brief The leader's view of one member.
+struct member_state
+{
+    member_record record;
+    /// When the last answered beat was sent.
+    base::steady_time confirmed;
+    /// When the store last answered the member, on this host's clock.
+    base::steady_time store_answered;
+    /// No process listens at the member's address.
+    bool refused = false;
+    bool leaving = false;
+    bool beat_open = false;
+    bool answered_once = false;
+    base::steady_time next_beat;
+};
+
+/// @brief Sends the leader's beats and keeps what the members answer.
+///
+/// A member takes over only after it has heard nothing for a while; an
+/// answered beat is therefore a promise not to take over during that time.
+class member_beats : public std::enable_shared_from_this<member_beats>
+{
+public:
+    using newer_epoch = std::function<void(std::int64_t)>;
+
+    member_beats(boost::asio::io_context& io, const base::clock& time,
+                 aio::peer_hub& peers, leader_beat beat, newer_epoch superseded);
+
+    void start();
+    void stop();
+    void add(const member_record& record);
+    void set_configuration(std::int64_t version);
+
+    /// @brief Time up to which every member that may run has promised not to
+    /// take over; none without members.
+    std::optional<base::steady_time> confirmed() const;
+
+    /// @brief A member that the store answered after the given time.
+    std::optional<member_record>
+    member_with_store(base::steady_time after) const;
+
+    /// @brief Members that answered lately.
+    std::vector<member_record> reachable() const;
+
+private:
+    void tick();
+    void send(const std::string& name);
+    bool is_recent(const member_state& it) const;
+
+    boost::asio::steady_timer timer_;
+    const base::clock& clock_;
+    aio::peer_hub& peers_;
+    leader_beat beat_;
+    newer_epoch superseded_;
+    std::map<std::string, member_state> members_;
+    bool stopped_ = false;
+};
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/include/mustardwick/entry/messages.hpp
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "mustardwick/dispatch/orders.hpp"
+#include "mustardwick/jobs/job.hpp"
+#include "mustardwick/wire/endpoint.hpp"
+
+namespace mustardwick::entry
+{
+
+/// @brief The row that names the leader; every transaction of the leader
+/// checks and rewrites it.
+struct head_record
+{
+    /// Number of the leadership; the fencing token of its orders.
+    std::int64_t epoch = 0;
+    std::string leader;
+    std::string address;
+    std::uint16_t port = 0;
+    /// Transaction that wrote this value; resolves lost answers.
+    std::string transaction;
+    /// The leader has given up the duty.
+    bool released = false;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(epoch, leader, address, port, transaction, released);
+    }
+};
+
+/// @brief The row of one daemon.
+struct member_record
+{
+    std::string name;
+    std::string address;
+    std::uint16_t port = 0;
+    /// Share of a processor that the host provides.
+    double capacity = 0;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(name, address, port, capacity);
+    }
+};
+
+/// @brief Leader to member, several times a second.
+struct leader_beat
+{
+    std::int64_t epoch = 0;
+    std::string leader;
+    std::string address;
+    std::uint16_t port = 0;
+    /// Newest configuration that the leader knows. A member that the store
+    /// turns away fetches it from the leader.
+    std::int64_t configuration = 0;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(epoch, leader, address, port, configuration);
+    }
+};
+
+struct beat_answer
+{
+    /// Highest epoch that the member knows.
+    std::int64_t epoch = 0;
+    /// Milliseconds since the store last answered the member; -1 never.
+    std::int64_t store_age_ms = -1;
+    /// The member shuts down and must not become leader.
+    bool leaving = false;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(epoch, store_age_ms, leaving);
+    }
+};
+
+/// @brief Asks a member to become leader after the sender has stopped.
+struct hand_over
+{
+    std::int64_t epoch = 0;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(epoch);
+    }
+};
+
+enum class reply_status : std::uint8_t
+{
+    done,
+    /// The job is not known.
+    unknown_job,
+    /// The daemon is not the leader, or has not loaded the state yet.
+    not_leader
+};
+
+struct job_query
+{
+    std::string id;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(id);
+    }
+};
+
+struct queue_query
+{
+    std::string queue;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(queue);
+    }
+};
+
+/// @brief Answer to submissions, queries, cancellations and counts.
+struct job_reply
+{
+    reply_status status = reply_status::not_leader;
+    jobs::job_state state = jobs::job_state::queued;
+    std::uint64_t waiting = 0;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(status, state, waiting);
+    }
+};
+
+struct advice_request
+{
+    std::string job;
+    std::int64_t occurrence = 0;
+    int step = 0;
+    std::vector<std::string> workers;
+    std::int64_t timeout_ms = 0;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(job, occurrence, step, workers, timeout_ms);
+    }
+};
+
+struct advice_reply
+{
+    bool answered = false;
+    std::vector<dispatch::advice_ticket> allowed;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(answered, allowed);
+    }
+};
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/include/mustardwick/entry/state_log.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "mustardwick/base/clock.hpp"
+#include "mustardwick/base/metrics.hpp"
+#include "mustardwick/entry/messages.hpp"
+#include "platform/store_client.hpp"
+
+namespace mustardwick::entry
+{
+
+/// @brief Outcome of an attempt to change the leader's rows.
+enum class log_result
+{
+    durable,
+    /// Another daemon wrote the head row.
+    superseded
+};
+
+/// @brief A chain of transactions, one at a time, each of which checks and
+/// rewrites the head row.
+///
+/// An answer that was lost is resolved by sending the same transaction again:
+/// whichever copy comes second fails its condition and finds the first one's
+/// id in the head row. A copy that is carried out late fails the same way.
+class state_log : public std::enable_shared_from_this<state_log>
+{
+public:
+    using done_handler = std::function<void(log_result)>;
+
+    state_log(boost::asio::io_context& io, const base::clock& time,
+              platform::store_client& store, base::metrics& metrics,
+              head_record head, std::int64_t head_version);
+
+    /// @brief Writes rows; must not be called while is_busy().
+    void commit(std::vector<durable::row_write> writes,
+                std::vector<durable::row_address> removals,
+                done_handler done);
+    /// @brief Marks the duty as given up with the next transaction.
+    void set_released();
+    void stop();
+
+    bool is_busy() const
+    {
+        return busy_;
+    }
+    /// @brief When the last successful transaction was sent.
+    base::steady_time confirmed() const
+    {
+        return confirmed_;
+    }
+    /// @brief Since when transactions fail; nothing while they succeed.
+    std::optional<base::steady_time> failing_since() const
+    {
+        return failing_since_;
+    }
+
+private:
+    void send();
+    void answered(durable::store_reply reply, base::steady_time sent);
+    void resend_after(std::chrono::milliseconds pause);
+    void finish(log_result result);
+
+    boost::asio::steady_timer timer_;
+    const base::clock& clock_;
+    platform::store_client& store_;
+    base::metrics& metrics_;
+    head_record head_;
+    std::int64_t version_;
+    durable::transaction current_;
+    done_handler done_;
+    base::steady_time confirmed_;
+    base::steady_time began_;
+    std::optional<base::steady_time> failing_since_;
+    bool busy_ = false;
+    bool stopped_ = false;
+};
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/include/mustardwick/entry/worker_links.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "mustardwick/base/clock.hpp"
+#include "mustardwick/base/metrics.hpp"
+#include "mustardwick/dispatch/planner.hpp"
+#include "platform/worker_client.hpp"
+
+namespace mustardwick::entry
+{
+
+/// @brief The leader's connections to workers: renews leases, collects ends
+/// and delivers orders.
+class worker_links : public std::enable_shared_from_this<worker_links>
+{
+public:
+    struct events
+    {
+        /// Something that the planner knows has changed.
+        std::function<void()> changed;
+        /// A worker follows a newer leader.
+        std::function<void()> fenced;
+        /// Whether this daemon may act as leader now.
+        std::function<bool()> has_authority;
+    };
+
+    worker_links(boost::asio::io_context& io, const base::clock& time,
+                 base::metrics& metrics, dispatch::planner& planner,
+                 std::int64_t fencing_token, events on);
+
+    void listed(const jobs::worker_info& info);
+    void unlisted(const std::string& id);
+    void deliver(dispatch::orders orders);
+    void stop();
+
+private:
+    struct link
+    {
+        jobs::worker_info info;
+        std::unique_ptr<platform::worker_client> client;
+        std::unique_ptr<boost::asio::steady_timer> timer;
+        bool listed = false;
+        int failures = 0;
+        std::uint64_t generation = 0;
+    };
+
+    void renew(const std::string& id);
+    void renewed(const std::string& id, std::uint64_t generation,
+                 platform::renewal_reply reply);
+    void renew_after(link& it, std::chrono::milliseconds pause);
+    void start(dispatch::start_order order);
+    void stop_run(dispatch::stop_order order);
+
+    boost::asio::io_context& io_;
+    const base::clock& clock_;
+    base::metrics& metrics_;
+    dispatch::planner& planner_;
+    std::int64_t fencing_token_;
+    events on_;
+    std::map<std::string, link, std::less<>> links_;
+    bool stopped_ = false;
+};
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/include/mustardwick/jobs/job.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "mustardwick/policy/types.hpp"
+
+namespace mustardwick::jobs
+{
+
+/// @brief A number of equal tasks of a job.
+struct step
+{
+    int tasks = 1;
+    /// What one task takes of its host.
+    policy::resources size;
+    /// The submitter's guess of one task's run time; zero when not given.
+    std::int64_t estimate_ms = 0;
+    /// Indexes of earlier steps whose tasks have to finish first.
+    std::vector<int> after;
+    bool checkpointing = false;
+    /// All tasks start at once and end together.
+    bool all_at_once = false;
+    bool same_rack = false;
+    /// Copies of a task may run in parallel.
+    bool speculative = false;
+    /// The tasks run until the job is cancelled and are restarted.
+    bool long_running = false;
+    /// The tasks use processor time that others leave; their size does not
+    /// count against the processors of a host.
+    bool uses_leftover = false;
+    /// A label that the host must have; empty means any host.
+    std::string required_label;
+    /// The rack of the input data; empty means none.
+    std::string preferred_rack;
+    /// Tasks of this step on one host; 0 means no limit.
+    int max_per_host = 0;
+    /// What the tasks run; tasks of one image behave alike.
+    std::string image;
+    /// Bound on the tail latency of a task that serves users; 0 means none.
+    std::int64_t target_ms = 0;
+    /// Tasks of a long-running step that may be stopped at the same time.
+    int may_be_away = 0;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(tasks, size.millicpus, size.memory_mb, size.accelerators,
+           estimate_ms, after, checkpointing, all_at_once, same_rack,
+           speculative, long_running, uses_leftover, required_label,
+           preferred_rack, max_per_host, image, target_ms, may_be_away);
+    }
+};
+
+/// @brief Submitted work: steps of tasks, run once or at set times.
+struct job
+{
+    std::string id;
+    std::string queue;
+    /// Client account whose key came with the job; empty on a public queue.
+    std::string account;
+    /// Opaque text that every task receives.
+    std::string payload;
+    std::vector<step> steps;
+    /// Number of timed occurrences; 0 means that the job runs once, now.
+    std::int64_t occurrences = 0;
+    /// Wall clock milliseconds at which occurrence 0 is due.
+    std::int64_t first_due_ms = 0;
+    std::int64_t interval_ms = 0;
+    /// Wall clock milliseconds at which the job arrived.
+    std::int64_t arrived_ms = 0;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(id, queue, account, payload, steps, occurrences, first_due_ms,
+           interval_ms, arrived_ms);
+    }
+};
+
+enum class job_state : std::uint8_t
+{
+    queued,
+    running,
+    completed,
+    failed,
+    cancelled
+};
+
+/// @brief True for states that never change again.
+constexpr bool is_final(job_state state)
+{
+    return state >= job_state::completed;
+}
+
+/// @brief One task of one occurrence of a job.
+struct task_key
+{
+    std::string job;
+    std::int64_t occurrence = 0;
+    int step = 0;
+    int index = 0;
+
+    auto operator<=>(const task_key&) const = default;
+};
+
+/// @brief "JOB.OCCURRENCE.STEP.INDEX".
+std::string to_string(const task_key& key);
+
+/// @brief Parses the form of to_string(); malformed text gives nothing.
+std::optional<task_key> parse_task_key(std::string_view text);
+
+} // namespace mustardwick::jobs
--- /dev/null
+++ b/include/mustardwick/jobs/record.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "mustardwick/jobs/job.hpp"
+
+namespace mustardwick::jobs
+{
+
+enum class task_state : std::uint8_t
+{
+    waiting,
+    /// A run is assigned to a worker; it may or may not have started.
+    assigned,
+    done
+};
+
+/// @brief Durable state of one task.
+struct task_record
+{
+    task_state state = task_state::waiting;
+    /// Number of the last run.
+    std::int32_t run = 0;
+    std::int32_t failures = 0;
+    std::string worker;
+    std::int64_t worker_born_ms = 0;
+    /// Checkpoint that the next run resumes from; empty means none.
+    std::string checkpoint;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(state, run, failures, worker, worker_born_ms, checkpoint);
+    }
+};
+
+/// @brief Durable state of one occurrence of a job.
+struct occurrence_record
+{
+    std::int64_t number = 0;
+    /// By step, then by index.
+    std::vector<std::vector<task_record>> tasks;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(number, tasks);
+    }
+};
+
+/// @brief Durable progress of one job.
+struct job_record
+{
+    job_state state = job_state::queued;
+    /// Occurrences below this number were opened.
+    std::int64_t occurrences_opened = 0;
+    /// Those of them that have not ended.
+    std::vector<occurrence_record> open;
+    /// Wall clock milliseconds at which the job ended; 0 while it has not.
+    std::int64_t ended_ms = 0;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(state, occurrences_opened, open, ended_ms);
+    }
+};
+
+} // namespace mustardwick::jobs
--- /dev/null
+++ b/include/mustardwick/jobs/worker.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "mustardwick/jobs/job.hpp"
+#include "mustardwick/policy/types.hpp"
+#include "mustardwick/wire/endpoint.hpp"
+
+namespace mustardwick::jobs
+{
+
+/// @brief What a worker announces about itself.
+struct worker_info
+{
+    std::string id;
+    /// Unix milliseconds at which this life of the worker began; 0 unknown.
+    std::int64_t born_ms = 0;
+    std::string service;
+    wire::endpoint address;
+    std::string failure_domain;
+    /// The kind of the host and the name of its rack, among others.
+    std::vector<std::string> labels;
+    std::string rack;
+    policy::resources capacity;
+    bool draining = false;
+    /// While it drains: the time that is left at least.
+    std::int64_t remaining_ms = 0;
+
+    bool operator==(const worker_info&) const = default;
+};
+
+/// @brief How a run of a task ended.
+enum class run_end
+{
+    done,
+    failed,
+    stopped,
+    /// The worker's lease ran out.
+    lapsed,
+    /// Another task of the same all-at-once step ended.
+    broken,
+    /// The other tasks of an all-at-once step did not arrive in time.
+    alone
+};
+
+/// @brief One run that a worker has under way.
+struct running_run
+{
+    task_key task;
+    int run = 0;
+    /// Latest checkpoint; empty means none.
+    std::string checkpoint;
+    /// Tail latency in milliseconds of a serving task, else millicores used.
+    std::int64_t load = 0;
+};
+
+/// @brief One run that has ended and is not acknowledged yet.
+struct ended_run
+{
+    /// Position in the worker's list of ends, from 1.
+    std::int64_t number = 0;
+    task_key task;
+    int run = 0;
+    run_end how = run_end::done;
+    std::string checkpoint;
+};
+
+/// @brief A worker's answer to a renewal of its lease.
+struct worker_report
+{
+    std::int64_t clock_ms = 0;
+    std::int64_t born_ms = 0;
+    std::vector<running_run> running;
+    std::vector<ended_run> ended;
+};
+
+/// @brief A worker's answer to an order.
+enum class order_result
+{
+    accepted,
+    /// Another daemon gave orders with a newer fencing token.
+    fenced,
+    /// The run number is not above one that ended or was stopped there.
+    stale_run,
+    /// The order's deadline had passed on the worker's clock.
+    expired,
+    no_room,
+    /// The ticket of the advice service was not accepted.
+    bad_ticket,
+    /// The worker is unhealthy and has done nothing.
+    unhealthy,
+    /// Another life of the worker answered.
+    other_life,
+    /// The order was malformed.
+    invalid,
+    /// No byte was sent.
+    not_sent,
+    /// No answer: the order may still be carried out before its deadline.
+    unknown
+};
+
+struct order_reply
+{
+    order_result result = order_result::unknown;
+    /// The worker's clock; 0 when it did not answer.
+    std::int64_t clock_ms = 0;
+};
+
+} // namespace mustardwick::jobs
--- a/include/mustardwick/platform/http_table.hpp
+++ b/include/mustardwick/ports/http_table.hpp
@@ -8,10 +8,10 @@
 #include <string_view>
 #include <vector>
 
-#include "mustardwick/platform/table.hpp"
+#include "mustardwick/ports/table.hpp"
 #include "mustardwick/wire/endpoint.hpp"
 
-namespace mustardwick::platform
+namespace mustardwick::ports
 {
 
 /// @brief The platform's table service and host list over HTTP.
@@ -42,4 +42,4 @@
     std::unique_ptr<impl> impl_;
 };
 
-} // namespace mustardwick::platform
+} // namespace mustardwick::ports
--- a/include/mustardwick/platform/table.hpp
+++ b/include/mustardwick/ports/table.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace mustardwick::platform
+namespace mustardwick::ports
 {
 
 /// @brief One row of the platform's transactional table service.
@@ -153,4 +153,4 @@
                               std::string_view witness_key, int attempts = 3,
                               bool in_doubt = false);
 
-} // namespace mustardwick::platform
+} // namespace mustardwick::ports
--- a/include/mustardwick/platform/worker.hpp
+++ b/include/mustardwick/ports/worker.hpp
@@ -14,7 +14,7 @@
 #include "mustardwick/wire/endpoint.hpp"
 #include "mustardwick/wire/messages.hpp"
 
-namespace mustardwick::platform
+namespace mustardwick::ports
 {
 
 /// @brief Where a worker is reached.
@@ -335,4 +335,4 @@
         attempt_;
 };
 
-} // namespace mustardwick::platform
+} // namespace mustardwick::ports
--- a/include/mustardwick/wire/frame.hpp
+++ b/include/mustardwick/wire/frame.hpp
@@ -32,7 +32,17 @@
     probe = 9,
     probe_answer = 10,
     indirect_probe = 11,
-    members_changed = 12
+    members_changed = 12,
+    /// Messages between the daemons of a cell without daemon-owned hosts.
+    leader_beat = 13,
+    join_cell = 14,
+    hand_over = 15,
+    submit_job = 16,
+    query_job = 17,
+    cancel_job = 18,
+    count_waiting = 19,
+    ask_advice = 20,
+    fetch_configuration = 21
 };
 
 /// @brief One message on the internal protocol.
--- /dev/null
+++ b/src/mustardwick/aio/http_channel.cpp
@@ -0,0 +1,277 @@
+#include "mustardwick/aio/http_channel.hpp"
+
+#include <cerrno>
+#include <optional>
+
+#include <sys/socket.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include "mustardwick/aio/socket_options.hpp"
+
+namespace mustardwick::aio
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using steady = std::chrono::steady_clock;
+using boost::system::error_code;
+
+/// True when the peer has closed a connection that is idle, or has sent bytes
+/// that belong to no call.
+bool is_stale(int fd)
+{
+    char byte = 0;
+    const auto n = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+} // namespace
+
+/// One connection; runs one call at a time.
+class http_channel::connection
+    : public std::enable_shared_from_this<http_channel::connection>
+{
+public:
+    connection(std::shared_ptr<http_channel> owner)
+        : owner_(std::move(owner)), stream_(owner_->io_)
+    {
+    }
+
+    bool is_usable()
+    {
+        return stream_.socket().is_open() &&
+               !is_stale(stream_.socket().native_handle());
+    }
+
+    void close()
+    {
+        error_code ec;
+        stream_.socket().close(ec);
+        owner_.reset();
+    }
+
+    /// Keeps an idle connection from holding its channel alive.
+    void detach()
+    {
+        owner_.reset();
+    }
+
+    void run(std::shared_ptr<http_channel> owner, waiting_call next)
+    {
+        owner_ = std::move(owner);
+        current_ = std::move(next);
+        prepare();
+        if (stream_.socket().is_open())
+            write();
+        else
+            connect();
+    }
+
+private:
+    void prepare()
+    {
+        const auto& call = current_->call;
+        request_ = {};
+        request_.version(11);
+        request_.method_string(call.method);
+        request_.target(call.target);
+        request_.set(http::field::host, wire::to_string(owner_->peer_));
+        for (const auto& [name, value] : call.headers)
+            request_.set(name, value);
+        if (!call.body.empty() || call.method == "POST")
+        {
+            request_.set(http::field::content_type, "application/json");
+            request_.body() = call.body;
+            request_.prepare_payload();
+        }
+        deadline_ = current_->queued + call.timeout;
+    }
+
+    void connect()
+    {
+        error_code ec;
+        const auto address =
+            asio::ip::make_address(owner_->peer_.address, ec);
+        if (ec)
+            return finish_failed(call_end::not_sent, ec);
+        ++owner_->connections_opened_;
+        stream_.expires_at(std::min(
+            deadline_, steady::now() + owner_->options_.connect_timeout));
+        stream_.async_connect(
+            asio::ip::tcp::endpoint(address, owner_->peer_.port),
+            [self = shared_from_this()](error_code failed)
+            {
+                if (failed)
+                    return self->finish_failed(call_end::not_sent, failed);
+                set_low_latency(self->stream_.socket());
+                self->write();
+            });
+    }
+
+    void write()
+    {
+        stream_.expires_at(deadline_);
+        http::async_write(stream_, request_,
+                          [self = shared_from_this()](error_code ec,
+                                                      std::size_t)
+                          {
+                              if (ec)
+                                  return self->finish_failed(
+                                      call_end::maybe_sent, ec);
+                              self->read();
+                          });
+    }
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->body_limit(owner_->options_.max_body_bytes);
+        http::async_read(stream_, buffer_, *parser_,
+                         [self = shared_from_this()](error_code ec,
+                                                     std::size_t)
+                         {
+                             if (ec)
+                                 return self->finish_failed(
+                                     call_end::maybe_sent, ec);
+                             self->finish_answered();
+                         });
+    }
+
+    void finish_failed(call_end end, error_code ec)
+    {
+        const bool timed_out = ec == beast::error::timeout;
+        error_code ignored;
+        stream_.socket().close(ignored);
+        auto owner = std::move(owner_);
+        auto call = std::move(*current_);
+        current_.reset();
+        if (timed_out)
+            owner->drop_idle();
+        owner->released(shared_from_this(), false);
+        call.done({end, 0, {}, ec.message()});
+    }
+
+    void finish_answered()
+    {
+        http_result out;
+        out.end = call_end::answered;
+        out.status = parser_->get().result_int();
+        out.body = std::move(parser_->get().body());
+        const bool keep = parser_->keep_alive();
+        stream_.expires_never();
+        auto owner = std::move(owner_);
+        auto call = std::move(*current_);
+        current_.reset();
+        if (!keep)
+        {
+            error_code ignored;
+            stream_.socket().close(ignored);
+        }
+        owner->released(shared_from_this(), keep);
+        call.done(std::move(out));
+    }
+
+    std::shared_ptr<http_channel> owner_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    http::request<http::string_body> request_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    std::optional<waiting_call> current_;
+    steady::time_point deadline_;
+};
+
+http_channel::http_channel(asio::io_context& io, wire::endpoint peer,
+                           channel_options options)
+    : io_(io), peer_(std::move(peer)), options_(options)
+{
+}
+
+http_channel::~http_channel() = default;
+
+void http_channel::send(http_call call, http_callback done)
+{
+    waiting_call next{std::move(call), std::move(done), steady::now()};
+    if (closed_)
+    {
+        asio::post(io_,
+                   [cb = std::move(next.done)]
+                   { cb({call_end::not_sent, 0, {}, "the channel is closed"}); });
+        return;
+    }
+    dispatch(std::move(next));
+}
+
+void http_channel::dispatch(waiting_call next)
+{
+    while (!idle_.empty())
+    {
+        auto it = std::move(idle_.back());
+        idle_.pop_back();
+        if (it->is_usable())
+        {
+            ++open_;
+            it->run(shared_from_this(), std::move(next));
+            return;
+        }
+        it->close();
+    }
+    if (open_ < options_.max_connections)
+    {
+        ++open_;
+        auto it = std::make_shared<connection>(shared_from_this());
+        it->run(shared_from_this(), std::move(next));
+        return;
+    }
+    waiting_.push_back(std::move(next));
+}
+
+void http_channel::released(const std::shared_ptr<connection>& it,
+                            bool reusable)
+{
+    --open_;
+    if (reusable && !closed_)
+    {
+        it->detach();
+        idle_.push_back(it);
+    }
+    const auto now = steady::now();
+    while (!waiting_.empty())
+    {
+        auto next = std::move(waiting_.front());
+        waiting_.pop_front();
+        if (closed_ || next.queued + next.call.timeout <= now)
+        {
+            next.done({call_end::not_sent, 0, {}, "no connection was free"});
+            continue;
+        }
+        dispatch(std::move(next));
+        return;
+    }
+}
+
+void http_channel::drop_idle()
+{
+    for (const auto& it : idle_)
+        it->close();
+    idle_.clear();
+}
+
+void http_channel::close()
+{
+    closed_ = true;
+    drop_idle();
+    auto waiting = std::move(waiting_);
+    waiting_.clear();
+    for (auto& it : waiting)
+        it.done({call_end::not_sent, 0, {}, "the channel is closed"});
+}
+
+} // namespace mustardwick::aio
--- /dev/null
+++ b/src/mustardwick/aio/http_listener.cpp
@@ -0,0 +1,335 @@
+#include "mustardwick/aio/http_listener.hpp"
+
+#include <charconv>
+#include <set>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include "mustardwick/aio/socket_options.hpp"
+#include "mustardwick/base/error.hpp"
+#include "mustardwick/base/log.hpp"
+
+namespace mustardwick::aio
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using steady = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+/// Milliseconds within which a written answer has to be taken by the client.
+constexpr milliseconds write_timeout{5000};
+
+std::string text_of(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::optional<milliseconds> parse_milliseconds(boost::beast::string_view text)
+{
+    std::int64_t value = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end ||
+        value <= 0)
+        return std::nullopt;
+    return milliseconds(value);
+}
+
+int status_of_read_error(error_code ec)
+{
+    if (ec == http::error::body_limit)
+        return 413;
+    if (ec == http::error::header_limit)
+        return 431;
+    return 400;
+}
+
+bool is_closed_by_peer(error_code ec)
+{
+    return ec == http::error::end_of_stream || ec == asio::error::eof ||
+           ec == asio::error::connection_reset ||
+           ec == asio::error::operation_aborted ||
+           ec == beast::error::timeout;
+}
+
+} // namespace
+
+struct http_listener::impl : std::enable_shared_from_this<impl>
+{
+    class session;
+
+    impl(asio::io_context& context, wire::endpoint where, std::string header,
+         request_handler handler)
+        : io(context), address(std::move(where)),
+          deadline_header(std::move(header)), handle(std::move(handler)),
+          acceptor(context)
+    {
+    }
+
+    void accept();
+
+    asio::io_context& io;
+    wire::endpoint address;
+    std::string deadline_header;
+    request_handler handle;
+    asio::ip::tcp::acceptor acceptor;
+    listener_limits limits;
+    std::set<std::shared_ptr<session>> sessions;
+    std::size_t open_requests = 0;
+    bool draining = false;
+};
+
+class http_listener::impl::session
+    : public std::enable_shared_from_this<http_listener::impl::session>
+{
+public:
+    session(std::shared_ptr<impl> owner, asio::ip::tcp::socket socket)
+        : owner_(std::move(owner)), stream_(std::move(socket))
+    {
+    }
+
+    void read_header()
+    {
+        busy_ = false;
+        parser_.emplace();
+        parser_->header_limit(owner_->limits.max_header_bytes);
+        parser_->body_limit(owner_->limits.max_body_bytes);
+        stream_.expires_after(owner_->limits.idle_timeout);
+        // The first byte starts the shorter limit of an unfinished header.
+        stream_.socket().async_wait(
+            asio::ip::tcp::socket::wait_read,
+            [self = shared_from_this()](error_code ec)
+            {
+                if (ec)
+                    return self->close();
+                self->read_request();
+            });
+        arm_idle_timer();
+    }
+
+    bool is_busy() const
+    {
+        return busy_;
+    }
+
+    void close()
+    {
+        idle_timer_.reset();
+        error_code ignored;
+        stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_both,
+                                  ignored);
+        stream_.socket().close(ignored);
+        owner_->sessions.erase(shared_from_this());
+    }
+
+private:
+    void arm_idle_timer()
+    {
+        idle_timer_.emplace(owner_->io, owner_->limits.idle_timeout);
+        idle_timer_->async_wait(
+            [weak = weak_from_this()](error_code ec)
+            {
+                const auto self = weak.lock();
+                if (!ec && self && !self->busy_)
+                    self->close();
+            });
+    }
+
+    void read_request()
+    {
+        idle_timer_.reset();
+        busy_ = true;
+        stream_.expires_after(owner_->limits.header_timeout);
+        http::async_read(stream_, buffer_, *parser_,
+                         [self = shared_from_this()](error_code ec,
+                                                     std::size_t)
+                         {
+                             if (ec)
+                                 return self->refuse(ec);
+                             self->serve();
+                         });
+    }
+
+    void refuse(error_code ec)
+    {
+        if (is_closed_by_peer(ec))
+            return close();
+        base::log_event(base::log_level::warning, "listener",
+                        "request_refused", {{"reason", ec.message()}});
+        parser_.emplace();
+        keep_alive_ = false;
+        ++owner_->open_requests;
+        answer({status_of_read_error(ec), "{}", "application/json", {}});
+    }
+
+    void serve()
+    {
+        stream_.expires_never();
+        auto& message = parser_->get();
+        keep_alive_ = message.keep_alive();
+        incoming_request out;
+        out.method = text_of(message.method_string());
+        out.target = text_of(message.target());
+        out.host = text_of(message[http::field::host]);
+        out.authorization = text_of(message[http::field::authorization]);
+        out.deadline = parse_milliseconds(message[owner_->deadline_header]);
+        out.body = std::move(message.body());
+        out.received = steady::now();
+        ++owner_->open_requests;
+        owner_->handle(std::move(out),
+                       [self = shared_from_this()](outgoing_response reply)
+                       { self->answer(std::move(reply)); });
+    }
+
+    void answer(outgoing_response reply)
+    {
+        if (!busy_)
+            return;
+        const bool last = owner_->draining || !keep_alive_;
+        response_ = {};
+        response_.version(11);
+        response_.result(static_cast<unsigned>(reply.status));
+        response_.set(http::field::content_type, reply.content_type);
+        if (reply.retry_after)
+        {
+            // The header counts whole seconds; rounding up keeps it true.
+            const auto seconds = std::chrono::ceil<std::chrono::seconds>(
+                *reply.retry_after);
+            response_.set(http::field::retry_after,
+                          std::to_string(seconds.count()));
+        }
+        response_.body() = std::move(reply.body);
+        response_.keep_alive(!last);
+        response_.prepare_payload();
+        stream_.expires_after(write_timeout);
+        http::async_write(stream_, response_,
+                          [self = shared_from_this(), last](error_code ec,
+                                                            std::size_t)
+                          { self->written(ec, last); });
+    }
+
+    void written(error_code ec, bool last)
+    {
+        --owner_->open_requests;
+        busy_ = false;
+        if (ec || last)
+            return close();
+        if (buffer_.size() > 0)
+        {
+            parser_.emplace();
+            parser_->header_limit(owner_->limits.max_header_bytes);
+            parser_->body_limit(owner_->limits.max_body_bytes);
+            return read_request();
+        }
+        read_header();
+    }
+
+    std::shared_ptr<impl> owner_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<asio::steady_timer> idle_timer_;
+    http::response<http::string_body> response_;
+    bool keep_alive_ = true;
+    bool busy_ = false;
+};
+
+void http_listener::impl::accept()
+{
+    acceptor.async_accept(
+        [self = shared_from_this()](error_code ec,
+                                    asio::ip::tcp::socket socket)
+        {
+            if (ec == asio::error::operation_aborted)
+                return;
+            if (!ec && self->sessions.size() < self->limits.max_connections)
+            {
+                set_low_latency(socket);
+                auto it = std::make_shared<session>(self, std::move(socket));
+                self->sessions.insert(it);
+                it->read_header();
+            }
+            else
+                base::log_event(base::log_level::warning, "listener",
+                                "connection_refused",
+                                {{"reason", ec ? ec.message()
+                                               : "too many connections"}});
+            self->accept();
+        });
+}
+
+http_listener::http_listener(asio::io_context& io, wire::endpoint address,
+                             std::string deadline_header,
+                             request_handler handle)
+    : impl_(std::make_shared<impl>(io, std::move(address),
+                                   std::move(deadline_header),
+                                   std::move(handle)))
+{
+}
+
+http_listener::~http_listener()
+{
+    close_idle();
+}
+
+bool http_listener::start()
+{
+    error_code ec;
+    const auto ip = asio::ip::make_address(impl_->address.address, ec);
+    const asio::ip::tcp::endpoint where(ip, impl_->address.port);
+    if (!ec)
+        impl_->acceptor.open(where.protocol(), ec);
+    if (!ec)
+        impl_->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    if (!ec)
+        impl_->acceptor.bind(where, ec);
+    if (!ec)
+        impl_->acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec)
+    {
+        base::fail(base::error_kind::unavailable,
+                   "cannot listen on " + wire::to_string(impl_->address) +
+                       ": " + ec.message(),
+                   "check that the address is this host's and the port free");
+        return false;
+    }
+    impl_->accept();
+    return true;
+}
+
+void http_listener::set_limits(const listener_limits& limits)
+{
+    impl_->limits = limits;
+}
+
+void http_listener::begin_drain()
+{
+    impl_->draining = true;
+}
+
+void http_listener::close_idle()
+{
+    error_code ec;
+    impl_->acceptor.close(ec);
+    const auto sessions = impl_->sessions;
+    for (const auto& it : sessions)
+        if (!it->is_busy())
+            it->close();
+}
+
+std::size_t http_listener::open_requests() const
+{
+    return impl_->open_requests;
+}
+
+} // namespace mustardwick::aio
--- /dev/null
+++ b/src/mustardwick/aio/peer_hub.cpp
@@ -0,0 +1,329 @@
+#include "mustardwick/aio/peer_hub.hpp"
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "framed_stream.hpp"
+#include "mustardwick/aio/socket_options.hpp"
+
+namespace mustardwick::aio
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using steady = std::chrono::steady_clock;
+
+/// How long a peer may take to accept a connection and to send its challenge.
+constexpr std::chrono::milliseconds connect_timeout{700};
+
+} // namespace
+
+struct peer_hub::impl : std::enable_shared_from_this<impl>
+{
+    struct pending_call
+    {
+        peer_callback done;
+        steady::time_point sent;
+        std::unique_ptr<asio::steady_timer> timer;
+    };
+
+    /// The outgoing connection to one peer and its open calls.
+    struct link
+    {
+        std::shared_ptr<framed_stream> stream;
+        bool connecting = false;
+        std::vector<wire::frame> waiting;
+        std::map<std::uint64_t, pending_call> calls;
+        steady::time_point heard;
+        std::uint64_t generation = 0;
+    };
+
+    /// A connection attempt: connect, then read the challenge.
+    struct attempt
+    {
+        explicit attempt(asio::io_context& io) : socket(io), timer(io) {}
+
+        tcp::socket socket;
+        asio::steady_timer timer;
+        std::array<char, wire::challenge_bytes> challenge{};
+    };
+
+    impl(asio::io_context& context, wire::endpoint where, std::string key,
+         peer_handler handler)
+        : io(context), listen(std::move(where)), secret(std::move(key)),
+          handle(std::move(handler)), acceptor(context)
+    {
+    }
+
+    void call(const wire::endpoint& peer, wire::message_type type,
+              std::string payload, std::chrono::milliseconds timeout,
+              peer_callback done)
+    {
+        auto& it = links[peer];
+        const auto id = ++last_id;
+        auto timer = std::make_unique<asio::steady_timer>(io, timeout);
+        timer->async_wait(
+            [self = shared_from_this(), peer, id](error_code ec)
+            {
+                if (!ec)
+                    self->time_out(peer, id);
+            });
+        it.calls[id] = {std::move(done), steady::now(), std::move(timer)};
+        wire::frame frame{type, id, std::move(payload)};
+        if (it.stream)
+            it.stream->send(frame);
+        else
+        {
+            it.waiting.push_back(std::move(frame));
+            if (!it.connecting)
+                connect(peer);
+        }
+    }
+
+    void connect(const wire::endpoint& peer)
+    {
+        auto& it = links[peer];
+        it.connecting = true;
+        const auto generation = ++it.generation;
+        error_code ec;
+        const auto address = asio::ip::make_address(peer.address, ec);
+        auto now = std::make_shared<attempt>(io);
+        now->timer.expires_after(connect_timeout);
+        now->timer.async_wait(
+            [now](error_code failed)
+            {
+                error_code ignored;
+                if (!failed)
+                    now->socket.close(ignored);
+            });
+        now->socket.async_connect(
+            tcp::endpoint(address, peer.port),
+            [self = shared_from_this(), peer, now, generation](error_code err)
+            {
+                if (err)
+                {
+                    now->timer.cancel();
+                    return self->drop(peer, generation,
+                                      err == asio::error::connection_refused);
+                }
+                set_low_latency(now->socket);
+                self->read_challenge(peer, now, generation);
+            });
+    }
+
+    void read_challenge(const wire::endpoint& peer,
+                        const std::shared_ptr<attempt>& now,
+                        std::uint64_t generation)
+    {
+        asio::async_read(
+            now->socket, asio::buffer(now->challenge),
+            [self = shared_from_this(), peer, now, generation](error_code ec,
+                                                               std::size_t)
+            {
+                now->timer.cancel();
+                if (ec)
+                    return self->drop(peer, generation, false);
+                self->connected(peer, *now, generation);
+            });
+    }
+
+    void connected(const wire::endpoint& peer, attempt& now,
+                   std::uint64_t generation)
+    {
+        auto& it = links[peer];
+        if (it.generation != generation || stopped)
+            return;
+        it.connecting = false;
+        it.heard = steady::now();
+        it.stream = std::make_shared<framed_stream>(
+            std::move(now.socket),
+            wire::connection_key(
+                secret, {now.challenge.data(), now.challenge.size()}));
+        it.stream->run(
+            [self = shared_from_this(), peer](wire::frame frame)
+            { self->answered(peer, std::move(frame)); },
+            [self = shared_from_this(), peer, generation](error_code)
+            { self->drop(peer, generation, false); });
+        auto waiting = std::move(it.waiting);
+        it.waiting.clear();
+        for (const auto& frame : waiting)
+            if (it.stream)
+                it.stream->send(frame);
+    }
+
+    void answered(const wire::endpoint& peer, wire::frame frame)
+    {
+        auto& it = links[peer];
+        it.heard = steady::now();
+        const auto found = it.calls.find(frame.correlation);
+        if (found == it.calls.end())
+            return;
+        auto done = std::move(found->second.done);
+        it.calls.erase(found);
+        done({frame.type == wire::message_type::answer, false,
+              std::move(frame.payload)});
+    }
+
+    void time_out(const wire::endpoint& peer, std::uint64_t id)
+    {
+        auto& it = links[peer];
+        const auto found = it.calls.find(id);
+        if (found == it.calls.end())
+            return;
+        auto done = std::move(found->second.done);
+        const bool silent = it.heard <= found->second.sent;
+        it.calls.erase(found);
+        if (silent && it.stream)
+            drop(peer, it.generation, false);
+        done({});
+    }
+
+    /// Ends the connection to a peer and fails its open calls.
+    void drop(const wire::endpoint& peer, std::uint64_t generation,
+              bool refused)
+    {
+        auto& it = links[peer];
+        if (it.generation != generation)
+            return;
+        ++it.generation;
+        if (it.stream)
+            it.stream->close();
+        it.stream.reset();
+        it.connecting = false;
+        it.waiting.clear();
+        auto calls = std::move(it.calls);
+        it.calls.clear();
+        for (auto& [id, call] : calls)
+            call.done({false, refused, {}});
+    }
+
+    void accept()
+    {
+        acceptor.async_accept(
+            [self = shared_from_this()](error_code ec, tcp::socket socket)
+            {
+                if (ec == asio::error::operation_aborted)
+                    return;
+                if (!ec)
+                    self->serve(std::move(socket));
+                self->accept();
+            });
+    }
+
+    void serve(tcp::socket socket)
+    {
+        set_low_latency(socket);
+        const auto challenge =
+            std::make_shared<std::string>(wire::make_challenge());
+        const auto shared = std::make_shared<tcp::socket>(std::move(socket));
+        asio::async_write(
+            *shared, asio::buffer(*challenge),
+            [self = shared_from_this(), shared, challenge](error_code ec,
+                                                           std::size_t)
+            {
+                if (!ec)
+                    self->serve_frames(std::move(*shared), *challenge);
+            });
+    }
+
+    void serve_frames(tcp::socket socket, const std::string& challenge)
+    {
+        auto stream = std::make_shared<framed_stream>(
+            std::move(socket), wire::connection_key(secret, challenge));
+        served.insert(stream);
+        const std::weak_ptr<framed_stream> weak = stream;
+        stream->run(
+            [self = shared_from_this(), weak](wire::frame frame)
+            {
+                const auto id = frame.correlation;
+                self->handle(frame.type, std::move(frame.payload),
+                             [weak, id](std::string payload)
+                             {
+                                 if (const auto it = weak.lock())
+                                     it->send({wire::message_type::answer, id,
+                                               std::move(payload)});
+                             });
+            },
+            [self = shared_from_this(), weak](error_code)
+            { self->served.erase(weak.lock()); });
+    }
+
+    asio::io_context& io;
+    wire::endpoint listen;
+    std::string secret;
+    peer_handler handle;
+    tcp::acceptor acceptor;
+    std::map<wire::endpoint, link> links;
+    std::set<std::shared_ptr<framed_stream>> served;
+    std::uint64_t last_id = 0;
+    bool stopped = false;
+};
+
+peer_hub::peer_hub(asio::io_context& io, wire::endpoint listen,
+                   std::string secret, peer_handler handle)
+    : impl_(std::make_shared<impl>(io, std::move(listen), std::move(secret),
+                                   std::move(handle)))
+{
+}
+
+peer_hub::~peer_hub()
+{
+    stop();
+}
+
+bool peer_hub::start()
+{
+    error_code ec;
+    const auto ip = asio::ip::make_address(impl_->listen.address, ec);
+    const tcp::endpoint where(ip, impl_->listen.port);
+    if (!ec)
+        impl_->acceptor.open(where.protocol(), ec);
+    if (!ec)
+        impl_->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    if (!ec)
+        impl_->acceptor.bind(where, ec);
+    if (!ec)
+        impl_->acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec)
+    {
+        base::fail(base::error_kind::unavailable,
+                   "cannot listen on " + wire::to_string(impl_->listen) +
+                       ": " + ec.message(),
+                   "check that the address is this host's and the port free");
+        return false;
+    }
+    impl_->accept();
+    return true;
+}
+
+void peer_hub::call(const wire::endpoint& peer, wire::message_type type,
+                    std::string payload, std::chrono::milliseconds timeout,
+                    peer_callback done)
+{
+    impl_->call(peer, type, std::move(payload), timeout, std::move(done));
+}
+
+void peer_hub::stop()
+{
+    impl_->stopped = true;
+    error_code ec;
+    impl_->acceptor.close(ec);
+    const auto served = std::move(impl_->served);
+    impl_->served.clear();
+    for (const auto& it : served)
+        it->close();
+    auto links = std::move(impl_->links);
+    impl_->links.clear();
+    for (auto& [peer, it] : links)
+        if (it.stream)
+            it.stream->close();
+}
+
+} // namespace mustardwick::aio
--- a/src/mustardwick/caller/job_service.cpp
+++ b/src/mustardwick/caller/job_service.cpp
@@ -13,7 +13,7 @@
 
 using base::error_kind;
 using coordination::job_record;
-using platform::commit_state;
+using ports::commit_state;
 
 namespace
 {
@@ -94,7 +94,7 @@
     return out;
 }
 
-job_service::job_service(platform::table table,
+job_service::job_service(ports::table table,
                          coordination::group_commit& writes,
                          nudge_function nudge)
     : table_(std::move(table)), writes_(writes), nudge_(std::move(nudge))
--- a/src/mustardwick/coordination/claim_log.cpp
+++ b/src/mustardwick/coordination/claim_log.cpp
@@ -7,9 +7,9 @@
 namespace mustardwick::coordination
 {
 
-using platform::commit_state;
+using ports::commit_state;
 
-claim_log::claim_log(platform::table table, group_commit& writes)
+claim_log::claim_log(ports::table table, group_commit& writes)
     : table_(std::move(table)), writes_(writes)
 {
 }
--- a/src/mustardwick/coordination/config_store.cpp
+++ b/src/mustardwick/coordination/config_store.cpp
@@ -12,7 +12,7 @@
 
 namespace json = web::json;
 using base::error_kind;
-using platform::commit_state;
+using ports::commit_state;
 
 namespace
 {
@@ -41,7 +41,7 @@
     return resource_prefix(kind) + std::string(name);
 }
 
-std::uint64_t parse_head(const platform::row& head)
+std::uint64_t parse_head(const ports::row& head)
 {
     return head.version == 0 ? 0 : std::stoull(head.value);
 }
@@ -78,7 +78,7 @@
 }
 
 std::optional<stored_resource> decode_resource(resource_kind kind,
-                                               const platform::row& row)
+                                               const ports::row& row)
 {
     const auto change = decode_change(row.value);
     if (!change)
@@ -89,7 +89,7 @@
 
 } // namespace
 
-config_store::config_store(platform::table table, const base::clock& time,
+config_store::config_store(ports::table table, const base::clock& time,
                            std::chrono::milliseconds freshness,
                            promise_book& promises)
     : table_(std::move(table)), clock_(time), freshness_(freshness),
@@ -261,14 +261,14 @@
     return out;
 }
 
-platform::transaction config_store::build_change(const change_request& request,
-                                                 const platform::row& head,
+ports::transaction config_store::build_change(const change_request& request,
+                                                 const ports::row& head,
                                                  std::uint64_t version) const
 {
     const configuration_change entry{version, request.kind, request.name,
                                      request.remove, request.desired};
     const auto text = encode_change(entry);
-    platform::transaction out;
+    ports::transaction out;
     out.id = base::unique_id();
     out.checks.push_back({std::string(head_key), head.version});
     out.puts.push_back({std::string(head_key), std::to_string(version)});
@@ -284,7 +284,7 @@
 }
 
 void config_store::guard_changes(
-    std::function<std::optional<platform::check>()> own_row)
+    std::function<std::optional<ports::check>()> own_row)
 {
     own_row_ = std::move(own_row);
 }
@@ -322,7 +322,7 @@
             change.checks.push_back(*guard);
         }
         const auto result =
-            platform::commit_resolved(table_, change, log_key(version));
+            ports::commit_resolved(table_, change, log_key(version));
         if (result.state == commit_state::committed)
             out = change_result{version, false, version};
         fate_known = result.state != commit_state::unknown;
--- a/src/mustardwick/coordination/group_commit.cpp
+++ b/src/mustardwick/coordination/group_commit.cpp
@@ -9,7 +9,7 @@
 namespace mustardwick::coordination
 {
 
-using platform::commit_state;
+using ports::commit_state;
 
 namespace
 {
@@ -22,9 +22,9 @@
 /// A table that does not answer at all must not hold claims up for longer.
 constexpr std::chrono::milliseconds longest_doubt{2000};
 
-platform::transaction join(const std::deque<group_write*>& writes)
+ports::transaction join(const std::deque<group_write*>& writes)
 {
-    platform::transaction out;
+    ports::transaction out;
     out.id = base::unique_id();
     for (const auto* it : writes)
     {
@@ -36,14 +36,14 @@
 }
 
 /// Sends a transaction until its fate is known or it takes too long.
-platform::commit_result commit_in_series(const platform::table& table,
-                                         const platform::transaction& change)
+ports::commit_result commit_in_series(const ports::table& table,
+                                         const ports::transaction& change)
 {
     const auto until = std::chrono::steady_clock::now() + longest_doubt;
-    platform::commit_result out;
+    ports::commit_result out;
     for (int n = 0; n < max_series; ++n)
     {
-        out = platform::commit_resolved(table, change, change.puts[0].key,
+        out = ports::commit_resolved(table, change, change.puts[0].key,
                                         sendings_per_series, n > 0);
         const bool is_late = std::chrono::steady_clock::now() >= until;
         if (out.state != commit_state::unknown || is_late)
@@ -53,12 +53,12 @@
 }
 
 bool conflicts(const group_write& write,
-               const std::vector<platform::check>& failed)
+               const std::vector<ports::check>& failed)
 {
-    const auto has_failed = [&failed](const platform::check& it)
+    const auto has_failed = [&failed](const ports::check& it)
     {
         return std::any_of(failed.begin(), failed.end(),
-                           [&it](const platform::check& other)
+                           [&it](const ports::check& other)
                            {
                                return other.key == it.key;
                            });
@@ -68,7 +68,7 @@
 
 } // namespace
 
-group_commit::group_commit(platform::table table,
+group_commit::group_commit(ports::table table,
                            std::chrono::milliseconds interval,
                            base::metrics& metrics)
     : table_(std::move(table)), interval_(interval), metrics_(metrics)
@@ -141,7 +141,7 @@
     {
         const auto& checks = queue_.front().write.checks;
         const bool repeated = std::any_of(checks.begin(), checks.end(),
-                                          [&keys](const platform::check& it)
+                                          [&keys](const ports::check& it)
                                           {
                                               return keys.count(it.key) > 0;
                                           });
--- a/src/mustardwick/coordination/job_book.cpp
+++ b/src/mustardwick/coordination/job_book.cpp
@@ -56,8 +56,8 @@
     return it == attempts_.end() ? nullptr : find_task(it->second);
 }
 
-void job_book::load(std::span<const platform::row> jobs,
-                    std::span<const platform::row> tasks)
+void job_book::load(std::span<const ports::row> jobs,
+                    std::span<const ports::row> tasks)
 {
     for (const auto& it : jobs)
     {
--- a/src/mustardwick/coordination/job_book_test.cpp
+++ b/src/mustardwick/coordination/job_book_test.cpp
@@ -84,8 +84,8 @@
 Test(job_book, counts_restored_tasks)
 {
     placed_job first;
-    std::vector<platform::row> jobs;
-    std::vector<platform::row> rows;
+    std::vector<ports::row> jobs;
+    std::vector<ports::row> rows;
     for (const auto& [key, value] : first.book.take_changes().puts)
         (key.starts_with("job/") ? jobs : rows).push_back({key, 1, "", value});
     cr_assert_eq(jobs.size(), 1U);
--- a/src/mustardwick/coordination/member_registry.cpp
+++ b/src/mustardwick/coordination/member_registry.cpp
@@ -9,9 +9,9 @@
 namespace mustardwick::coordination
 {
 
-using platform::commit_state;
+using ports::commit_state;
 
-member_registry::member_registry(platform::table table, const base::clock& time,
+member_registry::member_registry(ports::table table, const base::clock& time,
                                  member_record self,
                                  std::chrono::milliseconds authority)
     : table_(std::move(table)), clock_(time), authority_(authority),
@@ -42,9 +42,9 @@
     next.renewal = 0;
     next.fenced = false;
     const auto key = member_key(next.name);
-    const platform::transaction change{
+    const ports::transaction change{
         base::unique_id(), {{key, row->version}}, {{key, to_row(next)}}, {}};
-    const auto result = platform::commit_resolved(table_, change, key);
+    const auto result = ports::commit_resolved(table_, change, key);
     if (result.state != commit_state::committed)
         return false;
     {
@@ -77,9 +77,9 @@
     ++next.renewal;
     const auto sent = clock_.now();
     const auto key = member_key(next.name);
-    const platform::transaction change{
+    const ports::transaction change{
         base::unique_id(), {{key, version}}, {{key, to_row(next)}}, {}};
-    const auto result = platform::commit_resolved(table_, change, key, 2);
+    const auto result = ports::commit_resolved(table_, change, key, 2);
     if (result.state == commit_state::conflict && adopt_write_in_doubt())
         return false;
     const std::scoped_lock lock(mutex_);
@@ -161,7 +161,7 @@
 bool member_registry::remove(const known_member& member)
 {
     const auto key = member_key(member.record.name);
-    const platform::transaction change{
+    const ports::transaction change{
         base::unique_id(), {{key, member.version}}, {}, {key}};
     return table_.commit(change).state == commit_state::committed;
 }
@@ -204,14 +204,14 @@
     return self_.name;
 }
 
-std::optional<platform::check> member_registry::own_row() const
+std::optional<ports::check> member_registry::own_row() const
 {
     const std::scoped_lock lock(mutex_);
     if (!registered_)
         return base::fail(base::error_kind::unavailable,
                           "this daemon is not registered",
                           "retry after a delay");
-    return platform::check{member_key(self_.name), self_version_};
+    return ports::check{member_key(self_.name), self_version_};
 }
 
 bool member_registry::has_authority() const
--- a/src/mustardwick/coordination/order_service.cpp
+++ b/src/mustardwick/coordination/order_service.cpp
@@ -8,7 +8,7 @@
 namespace mustardwick::coordination
 {
 
-order_service::order_service(worker_leases& leases, platform::workers workers,
+order_service::order_service(worker_leases& leases, ports::workers workers,
                              const config_store& config,
                              base::time_line& events)
     : leases_(leases), workers_(std::move(workers)), config_(config),
@@ -19,7 +19,7 @@
 /// Fills the orders for the worker; gives the attempts that must not start.
 std::vector<std::string>
 order_service::refuse_starts(const wire::deliver& orders,
-                             platform::task_orders& out) const
+                             ports::task_orders& out) const
 {
     out.stops = orders.stops;
     // With a copy that is not fresh the failure domain may be out of service
@@ -49,7 +49,7 @@
                           "the orders name another lease of host " +
                               orders.host,
                           "send the orders again under the current lease");
-    platform::task_orders out;
+    ports::task_orders out;
     const auto refused = refuse_starts(orders, out);
     if (out.starts.empty() && out.stops.empty())
         return wire::deliver_answer{};
--- a/src/mustardwick/coordination/planner.cpp
+++ b/src/mustardwick/coordination/planner.cpp
@@ -11,7 +11,7 @@
 {
 
 using base::milliseconds;
-using platform::commit_state;
+using ports::commit_state;
 
 namespace
 {
@@ -172,7 +172,7 @@
 
 /// True while the book was loaded under the duty as it is held now. A duty that
 /// was lost and taken again between two rounds has another version.
-bool planner::is_current(const std::optional<platform::check>& guard) const
+bool planner::is_current(const std::optional<ports::check>& guard) const
 {
     return guard && guard->version == duty_version_;
 }
@@ -364,7 +364,7 @@
         const auto guard = links_.duty.guard();
         if (!is_current(guard))
             return false;
-        platform::transaction change;
+        ports::transaction change;
         change.id = base::unique_id();
         change.checks.push_back(*guard);
         // The duty row is not written, so a witness row tells whether a
@@ -377,7 +377,7 @@
             change.puts.push_back({key, std::move(value)});
         for (const auto& it : changes.deletes)
             change.deletes.push_back(it);
-        auto result = platform::commit_resolved(links_.table, change, witness);
+        auto result = ports::commit_resolved(links_.table, change, witness);
         while (result.state == commit_state::unknown)
         {
             {
@@ -390,7 +390,7 @@
                 if (stopping_)
                     return false;
             }
-            result = platform::commit_resolved(links_.table, change, witness,
+            result = ports::commit_resolved(links_.table, change, witness,
                                                in_doubt_attempts, true);
         }
         if (result.state == commit_state::conflict)
--- a/src/mustardwick/coordination/planner_duty.cpp
+++ b/src/mustardwick/coordination/planner_duty.cpp
@@ -8,9 +8,9 @@
 namespace mustardwick::coordination
 {
 
-using platform::commit_state;
+using ports::commit_state;
 
-planner_duty::planner_duty(platform::table table,
+planner_duty::planner_duty(ports::table table,
                            const member_registry& registry,
                            const cluster_view& view)
     : table_(std::move(table)), registry_(registry), view_(view)
@@ -50,14 +50,14 @@
     return take(*row, record);
 }
 
-bool planner_duty::take(const platform::row& row, const duty_record& record)
+bool planner_duty::take(const ports::row& row, const duty_record& record)
 {
     const duty_record next{registry_.name(), registry_.incarnation(),
                            record.epoch + 1};
     const std::string key(planner_key);
-    const platform::transaction change{
+    const ports::transaction change{
         base::unique_id(), {{key, row.version}}, {{key, to_row(next)}}, {}};
-    const auto result = platform::commit_resolved(table_, change, key);
+    const auto result = ports::commit_resolved(table_, change, key);
     if (result.state != commit_state::committed)
         return result.state == commit_state::conflict;
     note(next, result.revision);
@@ -66,13 +66,13 @@
     return true;
 }
 
-std::optional<platform::check> planner_duty::guard() const
+std::optional<ports::check> planner_duty::guard() const
 {
     const std::scoped_lock lock(mutex_);
     const bool valid = held_ && record_.incarnation == registry_.incarnation();
     if (!valid)
         return std::nullopt;
-    return platform::check{std::string(planner_key), version_};
+    return ports::check{std::string(planner_key), version_};
 }
 
 void planner_duty::lose()
@@ -92,9 +92,9 @@
         next.epoch = record_.epoch + 1;
     }
     lose();
-    const platform::transaction change{
+    const ports::transaction change{
         base::unique_id(), {*check}, {{check->key, to_row(next)}}, {}};
-    const auto result = platform::commit_resolved(table_, change, check->key);
+    const auto result = ports::commit_resolved(table_, change, check->key);
     return result.state == commit_state::committed;
 }
 
--- a/src/mustardwick/coordination/request_escrow.cpp
+++ b/src/mustardwick/coordination/request_escrow.cpp
@@ -10,7 +10,7 @@
 namespace mustardwick::coordination
 {
 
-using platform::commit_state;
+using ports::commit_state;
 
 namespace
 {
@@ -136,9 +136,9 @@
                            std::uint64_t expected)
 {
     const auto key = escrow_key(team);
-    const platform::transaction change{
+    const ports::transaction change{
         base::unique_id(), {{key, expected}}, {{key, to_row(next)}}, {}};
-    const auto result = platform::commit_resolved(links_.table, change, key);
+    const auto result = ports::commit_resolved(links_.table, change, key);
     if (result.state != commit_state::committed)
         return false;
     const std::scoped_lock lock(mutex_);
--- a/src/mustardwick/coordination/request_owner.cpp
+++ b/src/mustardwick/coordination/request_owner.cpp
@@ -312,18 +312,18 @@
         return unknown_answer("host " + claim.host + " does not answer");
     switch (found->state)
     {
-    case platform::attempt_state::done:
+    case ports::attempt_state::done:
         return {wire::outcome::done,
                 static_cast<std::uint16_t>(found->status),
                 found->body,
                 {},
                 {}};
-    case platform::attempt_state::unknown:
+    case ports::attempt_state::unknown:
         return unknown_answer("host " + claim.host +
                               " has lost its memory of the attempt");
-    case platform::attempt_state::running:
+    case ports::attempt_state::running:
         return unknown_answer("the request is still running");
-    case platform::attempt_state::never_started:
+    case ports::attempt_state::never_started:
         break;
     }
     if (lease->lease == claim.lease)
--- a/src/mustardwick/coordination/worker_leases.cpp
+++ b/src/mustardwick/coordination/worker_leases.cpp
@@ -173,7 +173,7 @@
 /// extend its lease.
 void worker_leases::probe(const entry_ptr& it)
 {
-    platform::worker_address worker;
+    ports::worker_address worker;
     std::string lease;
     {
         const std::scoped_lock lock(it->mutex);
@@ -189,7 +189,7 @@
 
 void worker_leases::open(const entry_ptr& it)
 {
-    platform::worker_address worker;
+    ports::worker_address worker;
     bool reopening = false;
     {
         const std::scoped_lock lock(it->mutex);
@@ -253,7 +253,7 @@
 void worker_leases::renew(const std::vector<entry_ptr>& group)
 {
     std::vector<entry_ptr> renewed;
-    std::vector<platform::renewal> leases;
+    std::vector<ports::renewal> leases;
     wire::endpoint where;
     for (const auto& it : group)
     {
@@ -269,7 +269,7 @@
     if (leases.empty())
         return;
     const auto sent = links_.clock.now();
-    std::vector<platform::renewal_result> results(leases.size());
+    std::vector<ports::renewal_result> results(leases.size());
     if (links_.registry.has_authority())
         results =
             links_.workers.renew_group(where, leases, timing_.worker_lease);
@@ -282,13 +282,13 @@
 }
 
 void worker_leases::finish_renewal(const entry_ptr& it,
-                                   const platform::renewal& renewal,
-                                   const platform::renewal_result& result,
+                                   const ports::renewal& renewal,
+                                   const ports::renewal_result& result,
                                    steady_time sent)
 {
-    if (result.state != platform::renewal_state::renewed)
+    if (result.state != ports::renewal_state::renewed)
     {
-        const bool closed = result.state == platform::renewal_state::closed;
+        const bool closed = result.state == ports::renewal_state::closed;
         {
             const std::scoped_lock lock(it->mutex);
             it->acknowledged.insert(it->acknowledged.end(),
--- a/src/mustardwick/coordination/worker_leases_entry.hpp
+++ b/src/mustardwick/coordination/worker_leases_entry.hpp
@@ -18,7 +18,7 @@
     base::steady_time taken_at;
 
     std::mutex mutex;
-    platform::worker_address worker;
+    ports::worker_address worker;
     std::string lease;
     bool busy = false;
     bool dropped = false;
--- a/src/mustardwick/coordination/worker_leases_holders.cpp
+++ b/src/mustardwick/coordination/worker_leases_holders.cpp
@@ -11,7 +11,7 @@
 namespace mustardwick::coordination
 {
 
-using platform::commit_state;
+using ports::commit_state;
 
 namespace
 {
@@ -37,7 +37,7 @@
     const auto rows = links_.table.scan_all(holder_prefix);
     if (!rows)
         return;
-    std::map<std::string, platform::row> found;
+    std::map<std::string, ports::row> found;
     for (const auto& it : *rows)
         found[it.key] = it;
     std::vector<std::pair<std::string, std::uint64_t>> group;
@@ -68,7 +68,7 @@
     const std::vector<std::pair<std::string, std::uint64_t>>& group,
     const std::set<std::string>& dead)
 {
-    platform::transaction change;
+    ports::transaction change;
     change.id = base::unique_id();
     const auto value = to_row(
         holder_record{links_.registry.name(), links_.registry.incarnation()});
@@ -90,7 +90,7 @@
     // Peers that keep acting without the table rely on not being fenced.
     if (!dead.empty() && !links_.promises.begin_change())
         return false;
-    const auto result = platform::commit_resolved(
+    const auto result = ports::commit_resolved(
         links_.table, change, holder_key(group.front().first));
     if (!dead.empty())
         links_.promises.end_change(result.state != commit_state::unknown);
@@ -130,7 +130,7 @@
 
 void worker_leases::release_group(const std::vector<std::string>& names)
 {
-    platform::transaction change;
+    ports::transaction change;
     change.id = base::unique_id();
     for (const auto& name : names)
     {
@@ -147,7 +147,7 @@
     }
     if (change.checks.empty())
         return;
-    const auto result = platform::commit_resolved(links_.table, change,
+    const auto result = ports::commit_resolved(links_.table, change,
                                                   change.checks.front().key);
     if (result.state == commit_state::committed)
         return forget_hosts(names);
@@ -186,12 +186,12 @@
                               find(name) == nullptr && wanted.count(name) == 0;
         if (is_stray)
         {
-            const platform::transaction change{
+            const ports::transaction change{
                 base::unique_id(),
                 {{holder_key(name), row->version}},
                 {{holder_key(name), to_row(holder_record{})}},
                 {}};
-            const auto result = platform::commit_resolved(links_.table, change,
+            const auto result = ports::commit_resolved(links_.table, change,
                                                           holder_key(name));
             if (result.state == commit_state::unknown)
                 return;
--- a/src/mustardwick/daemon/main.cpp
+++ b/src/mustardwick/daemon/main.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -11,6 +12,7 @@
 #include "mustardwick/base/log.hpp"
 #include "mustardwick/coordination/settings.hpp"
 #include "mustardwick/daemon/node.hpp"
+#include "mustardwick/entry/entry_node.hpp"
 
 namespace
 {
@@ -32,7 +34,9 @@
                                        cxxopts::value<std::string>())(
         "log-level", "overrides log_level: debug, info, warning or error",
         cxxopts::value<std::string>())("h,help", "show this help")(
-        "version", "show the version");
+        "version", "show the version")(
+        "hosted", "keep all state in a platform's store; the settings file is "
+                  "--settings or $MUSTARDWICK_SETTINGS");
     return out;
 }
 
@@ -100,6 +104,47 @@
     return node.stop() ? 0 : exit_failure;
 }
 
+std::optional<mustardwick::entry::settings>
+load_hosted_settings(const std::string& path)
+{
+    const auto text = read_file(path);
+    if (!text)
+    {
+        std::cerr << "mustardwickd: " << base::last_error().text() << '\n';
+        return std::nullopt;
+    }
+    std::vector<std::string> errors;
+    auto out = mustardwick::entry::parse_settings(*text, errors);
+    for (const auto& it : errors)
+        std::cerr << path << ": " << it << '\n';
+    return out;
+}
+
+/// Runs the daemon on a platform that provides store, workers and balancer.
+int run_hosted(const cxxopts::ParseResult& flags)
+{
+    std::string path;
+    if (flags.count("settings") > 0)
+        path = flags["settings"].as<std::string>();
+    else if (const char* named = std::getenv("MUSTARDWICK_SETTINGS"))
+        path = named;
+    if (path.empty())
+    {
+        std::cerr << "mustardwickd: give --settings FILE or set "
+                     "MUSTARDWICK_SETTINGS\n";
+        return exit_usage;
+    }
+    auto settings = load_hosted_settings(path);
+    if (!settings)
+        return exit_failure;
+    std::signal(SIGPIPE, SIG_IGN);
+    base::set_up_log(settings->name, settings->log_level);
+    mustardwick::entry::entry_node node(std::move(*settings));
+    return node.run([path] { return load_hosted_settings(path); })
+               ? 0
+               : exit_failure;
+}
+
 int run_program(int argc, char** argv)
 {
     auto options = make_options();
@@ -117,6 +162,8 @@
         std::cout << "mustardwickd 0.1.0\n";
         return 0;
     }
+    if (flags.count("hosted") > 0)
+        return run_hosted(flags);
     if (flags.count("check-settings") > 0)
     {
         const bool ok = load_settings(flags["check-settings"].as<std::string>())
--- a/src/mustardwick/daemon/node.cpp
+++ b/src/mustardwick/daemon/node.cpp
@@ -85,7 +85,7 @@
               leases_.acknowledge(it);
           }),
       leases_(
-          {table_, platform::workers(workers_), registry_, view_, config_,
+          {table_, ports::workers(workers_), registry_, view_, config_,
            promises_, clock_, events_, poster()},
           settings_.timing,
           [this](wire::task_events it)
@@ -97,10 +97,10 @@
           {
               owner_.adopt(host, attempts);
           }),
-      owner_({leases_, platform::workers(workers_), config_, escrow_, claims_,
+      owner_({leases_, ports::workers(workers_), config_, escrow_, claims_,
               clock_, events_, metrics_, settings_.name},
              settings_.timing.max_request_time),
-      orders_(leases_, platform::workers(workers_), config_, events_),
+      orders_(leases_, ports::workers(workers_), config_, events_),
       planner_({table_, duty_, config_, clock_, events_, metrics_,
                 [this](const wire::deliver& it)
                 {
--- a/src/mustardwick/daemon/node.hpp
+++ b/src/mustardwick/daemon/node.hpp
@@ -26,7 +26,7 @@
 #include "mustardwick/coordination/settings.hpp"
 #include "mustardwick/http/server.hpp"
 #include "mustardwick/operators/operator_api.hpp"
-#include "mustardwick/platform/http_table.hpp"
+#include "mustardwick/ports/http_table.hpp"
 #include "mustardwick/wire/rpc.hpp"
 
 namespace mustardwick::daemon
@@ -102,9 +102,9 @@
     base::system_clock clock_;
     base::metrics metrics_;
     base::time_line events_;
-    platform::http_table service_;
-    platform::table table_;
-    platform::worker_client workers_;
+    ports::http_table service_;
+    ports::table table_;
+    ports::worker_client workers_;
     coordination::member_registry registry_;
     std::unique_ptr<coordination::membership_service> membership_;
     coordination::cluster_view view_;
--- /dev/null
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -0,0 +1,421 @@
+#include "mustardwick/dispatch/planner.hpp"
+
+#include <algorithm>
+
+#include "mustardwick/base/log.hpp"
+#include "mustardwick/wire/codec.hpp"
+
+namespace mustardwick::dispatch
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+using std::chrono::milliseconds;
+
+/// Time between two searches for jobs whose retention has ended.
+constexpr milliseconds sweep_interval{5000};
+
+std::int64_t wall_ms(const base::clock& time)
+{
+    return std::chrono::duration_cast<milliseconds>(
+               time.wall().time_since_epoch())
+        .count();
+}
+
+bool all_done(const std::vector<jobs::task_record>& tasks)
+{
+    return std::all_of(tasks.begin(), tasks.end(),
+                       [](const auto& it)
+                       { return it.state == jobs::task_state::done; });
+}
+
+} // namespace
+
+planner::planner(const base::clock& time, planner_options options,
+                 base::metrics& metrics)
+    : clock_(time), options_(options), metrics_(metrics),
+      created_(time.now()), next_sweep_(time.now() + sweep_interval)
+{
+}
+
+void planner::set_configuration(jobs::configuration value)
+{
+    configuration_ = std::move(value);
+    placement_due_ = true;
+}
+
+void planner::set_evacuated(std::set<std::string, std::less<>> failure_domains)
+{
+    evacuated_ = std::move(failure_domains);
+    placement_due_ = true;
+}
+
+job_run* planner::find_job(const std::string& id)
+{
+    const auto it = jobs_.find(id);
+    return it == jobs_.end() ? nullptr : &it->second;
+}
+
+void planner::mark_dirty(job_run& job)
+{
+    if (job.dirty)
+        return;
+    job.dirty = true;
+    dirty_.push_back(job.specification.id);
+}
+
+account_usage& planner::usage_of(const std::string& account)
+{
+    return accounts_[account];
+}
+
+void planner::open_occurrence(job_run& job, std::int64_t number)
+{
+    jobs::occurrence_record record;
+    record.number = number;
+    for (const auto& it : job.specification.steps)
+        record.tasks.emplace_back(static_cast<std::size_t>(it.tasks));
+    job.record.open.push_back(std::move(record));
+    job.steps.emplace_back(job.specification.steps.size());
+    job.record.occurrences_opened = number + 1;
+}
+
+void planner::open_due_occurrences(job_run& job)
+{
+    const auto& spec = job.specification;
+    if (spec.occurrences == 0)
+        return;
+    const auto now = wall_ms(clock_) + options_.early_start.count();
+    auto next = job.record.occurrences_opened;
+    while (next < spec.occurrences &&
+           spec.first_due_ms + next * spec.interval_ms <= now)
+    {
+        open_occurrence(job, next++);
+        mark_dirty(job);
+        placement_due_ = true;
+    }
+}
+
+void planner::submit(jobs::job specification, accepted done)
+{
+    const auto id = specification.id;
+    if (auto* known = find_job(id))
+    {
+        // The same id is the same job, also when its caller asks again.
+        if (known->specification_stored)
+            return done();
+        known->replies.emplace_back(std::move(done));
+        return;
+    }
+    auto& job = jobs_[id];
+    job.specification = std::move(specification);
+    job.number = ++next_number_;
+    job.arrived = clock_.now();
+    job.replies.emplace_back(std::move(done));
+    active_[job.number] = id;
+    if (job.specification.occurrences == 0)
+        open_occurrence(job, 0);
+    else
+        open_due_occurrences(job);
+    mark_dirty(job);
+    placement_due_ = true;
+    metrics_.add("mustardwick_jobs_submitted_total");
+}
+
+void planner::restore(jobs::job specification, jobs::job_record record)
+{
+    const auto id = specification.id;
+    auto& job = jobs_[id];
+    job.specification = std::move(specification);
+    job.record = std::move(record);
+    job.number = ++next_number_;
+    const auto age = milliseconds(
+        std::max<std::int64_t>(0, wall_ms(clock_) -
+                                      job.specification.arrived_ms));
+    job.arrived = clock_.now() - age;
+    job.shown = job.record.state;
+    job.specification_stored = true;
+    for (std::size_t it = 0; it < job.record.open.size(); ++it)
+        job.steps.emplace_back(job.specification.steps.size());
+    if (is_final(job.record.state))
+        return;
+    active_[job.number] = id;
+    const auto bound = created_ + options_.former_authority +
+                       options_.max_lease * 100 / 98 + milliseconds(300);
+    for (const auto& open : job.record.open)
+        for (std::size_t step = 0; step < open.tasks.size(); ++step)
+            for (std::size_t index = 0; index < open.tasks[step].size();
+                 ++index)
+            {
+                const auto& task = open.tasks[step][index];
+                if (task.state != jobs::task_state::assigned)
+                    continue;
+                auto& host = hosts_[task.worker];
+                host.info.id = task.worker;
+                host.born_ms = task.worker_born_ms;
+                host.lease_bound = bound;
+                add_run(host, job,
+                        {id, open.number, int(step), int(index)}, task.run,
+                        run_phase::inherited);
+            }
+    placement_due_ = true;
+}
+
+void planner::cancel(const std::string& id, cancelled done)
+{
+    auto* job = find_job(id);
+    if (job == nullptr)
+        return done(cancel_result::unknown_job);
+    if (is_final(job->record.state) && !job->dirty)
+        return done(cancel_result::cancelled);
+    job->replies.emplace_back([done = std::move(done)]
+                              { done(cancel_result::cancelled); });
+    if (!is_final(job->record.state))
+    {
+        finish_job(*job, jobs::job_state::cancelled);
+        log_event(log_level::info, "planner", "job_cancelled", {{"job", id}});
+    }
+    mark_dirty(*job);
+}
+
+std::optional<jobs::job_state> planner::state_of(const std::string& id) const
+{
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end())
+        return std::nullopt;
+    return it->second.shown;
+}
+
+std::size_t planner::waiting_jobs(std::string_view queue) const
+{
+    std::size_t n = 0;
+    for (const auto& [number, id] : active_)
+    {
+        const auto& job = jobs_.at(id);
+        if (job.specification.queue == queue &&
+            job.record.state == jobs::job_state::queued)
+            ++n;
+    }
+    return n;
+}
+
+void planner::finish_job(job_run& job, jobs::job_state state)
+{
+    job.record.state = state;
+    job.record.ended_ms = wall_ms(clock_);
+    active_.erase(job.number);
+    for (const auto& open : job.record.open)
+        for (std::size_t step = 0; step < open.tasks.size(); ++step)
+            stop_step_runs(job, open.number, int(step));
+    job.record.open.clear();
+    job.steps.clear();
+    mark_dirty(job);
+    placement_due_ = true;
+    if (state == jobs::job_state::cancelled)
+        return;
+    const auto took = std::chrono::duration<double>(clock_.now() -
+                                                    job.arrived);
+    metrics_.observe("mustardwick_job_seconds", took.count());
+    log_event(log_level::info, "planner",
+              state == jobs::job_state::failed ? "job_failed"
+                                               : "job_completed",
+              {{"job", job.specification.id},
+               {"queue", job.specification.queue},
+               {"after_ms", std::int64_t(took.count() * 1000)}});
+}
+
+void planner::close_occurrence(job_run& job, std::size_t position)
+{
+    auto& open = job.record.open;
+    const auto at = static_cast<std::ptrdiff_t>(position);
+    open.erase(open.begin() + at);
+    job.steps.erase(job.steps.begin() + at);
+    const auto total = std::max<std::int64_t>(1, job.specification.occurrences);
+    if (open.empty() && job.record.occurrences_opened >= total)
+        finish_job(job, jobs::job_state::completed);
+}
+
+void planner::task_done(job_run& job, const jobs::task_key& task)
+{
+    auto& open = job.record.open;
+    const auto it = std::find_if(open.begin(), open.end(),
+                                 [&](const auto& candidate)
+                                 { return candidate.number ==
+                                          task.occurrence; });
+    if (it == open.end())
+        return;
+    auto& tasks = it->tasks[std::size_t(task.step)];
+    if (job.specification.steps[std::size_t(task.step)].all_at_once)
+        for (auto& member : tasks)
+            member.state = jobs::task_state::done;
+    tasks[std::size_t(task.index)].state = jobs::task_state::done;
+    mark_dirty(job);
+    placement_due_ = true;
+    if (std::all_of(it->tasks.begin(), it->tasks.end(), all_done))
+        close_occurrence(job, std::size_t(it - open.begin()));
+}
+
+std::vector<row_change> planner::next_commit(std::size_t max_rows,
+                                             std::size_t max_bytes)
+{
+    std::vector<row_change> out;
+    if (committing_ || dirty_.empty())
+        return out;
+    effects batch;
+    std::size_t rows = 0;
+    std::size_t bytes = 0;
+    while (!dirty_.empty() && rows + 2 <= max_rows && bytes < max_bytes)
+    {
+        auto& job = jobs_.at(dirty_.front());
+        dirty_.pop_front();
+        job.dirty = false;
+        row_change change{job.specification.id, {}, {}};
+        if (job.removed)
+            batch.removed.push_back(job.specification.id);
+        else
+        {
+            if (!job.specification_stored)
+                change.specification = wire::encode(job.specification);
+            change.progress = wire::encode(job.record);
+            job.specification_stored = true;
+        }
+        rows += 2;
+        bytes += change.specification.size() + change.progress.size();
+        std::move(job.starts.begin(), job.starts.end(),
+                  std::back_inserter(batch.starts));
+        std::move(job.ends.begin(), job.ends.end(),
+                  std::back_inserter(batch.ends));
+        std::move(job.replies.begin(), job.replies.end(),
+                  std::back_inserter(batch.replies));
+        job.starts.clear();
+        job.ends.clear();
+        job.replies.clear();
+        batch.states.emplace_back(job.specification.id, job.record.state);
+        out.push_back(std::move(change));
+    }
+    committing_ = std::move(batch);
+    return out;
+}
+
+void planner::commit_done()
+{
+    auto batch = std::move(*committing_);
+    committing_.reset();
+    for (const auto& it : batch.ends)
+    {
+        const auto host = hosts_.find(it.worker);
+        if (host != hosts_.end() && host->second.born_ms == it.worker_born_ms)
+            host->second.undurable_ends.erase(it.number);
+    }
+    for (const auto& [id, state] : batch.states)
+        if (auto* job = find_job(id))
+            job->shown = state;
+    for (const auto& id : batch.removed)
+        jobs_.erase(id);
+    release_starts(std::move(batch.starts));
+    for (const auto& reply : batch.replies)
+        reply();
+}
+
+void planner::release_starts(std::vector<start_order> starts)
+{
+    for (auto& order : starts)
+    {
+        const auto found = hosts_.find(order.worker);
+        if (found == hosts_.end())
+            continue;
+        auto& host = found->second;
+        const auto it = host.runs.find({order.task, order.run});
+        if (it == host.runs.end() || it->second.phase != run_phase::recording)
+            continue;
+        const auto* job = find_job(order.task.job);
+        const auto queue =
+            job == nullptr
+                ? configuration_.queues.end()
+                : configuration_.queues.find(job->specification.queue);
+        // What was true when the host was chosen may have changed since.
+        if (queue == configuration_.queues.end() ||
+            !is_usable(host, queue->second.service))
+        {
+            run_lost(host, it->first, "the host left service");
+            continue;
+        }
+        order.deadline_ms =
+            estimated_clock(host) + options_.start_validity.count();
+        it->second.phase = run_phase::ordered;
+        it->second.void_after_ms = order.deadline_ms;
+        host.lease_bound = std::max(
+            host.lease_bound,
+            clock_.now() + options_.start_validity * 100 / 98 +
+                milliseconds(100));
+        outbox_.starts.push_back(std::move(order));
+    }
+}
+
+void planner::drop_expired_jobs()
+{
+    const auto now = clock_.now();
+    if (now < next_sweep_)
+        return;
+    next_sweep_ = now + sweep_interval;
+    const auto oldest = wall_ms(clock_) - options_.retention.count();
+    for (auto& [id, job] : jobs_)
+        if (is_final(job.record.state) && job.record.ended_ms < oldest &&
+            !job.dirty && !job.removed)
+        {
+            job.removed = true;
+            mark_dirty(job);
+        }
+    std::erase_if(hosts_,
+                  [&](const auto& entry)
+                  {
+                      const auto& host = entry.second;
+                      return !host.listed && host.runs.empty() &&
+                             host.lease_bound < now;
+                  });
+}
+
+orders planner::take_orders()
+{
+    settle_lost_leases();
+    drop_expired_jobs();
+    const auto now = clock_.now();
+    if (placement_due_ || now >= next_placement_)
+    {
+        // Tickets, quarantines and due times pass without an event.
+        constexpr milliseconds idle_placement_interval{100};
+        next_placement_ = now + idle_placement_interval;
+        placement_due_ = false;
+        place_waiting_steps();
+    }
+    return std::exchange(outbox_, {});
+}
+
+std::optional<std::int64_t> planner::lease_deadline(const std::string& id)
+{
+    const auto it = hosts_.find(id);
+    if (it == hosts_.end() || it->second.clock_ms == 0)
+        return std::nullopt;
+    auto& host = it->second;
+    // A worker's clock may be 2 % slow.
+    host.lease_bound =
+        std::max(host.lease_bound, clock_.now() +
+                                       options_.max_lease * 100 / 98 +
+                                       milliseconds(100));
+    return estimated_clock(host) + options_.max_lease.count();
+}
+
+std::int64_t planner::acknowledged_end(const std::string& id) const
+{
+    const auto it = hosts_.find(id);
+    if (it == hosts_.end())
+        return 0;
+    const auto& host = it->second;
+    return host.undurable_ends.empty() ? host.applied_end
+                                       : *host.undurable_ends.begin() - 1;
+}
+
+} // namespace mustardwick::dispatch
--- /dev/null
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -0,0 +1,466 @@
+#include <algorithm>
+
+#include "mustardwick/base/log.hpp"
+#include "mustardwick/dispatch/planner.hpp"
+#include "mustardwick/policy/urgency.hpp"
+
+namespace mustardwick::dispatch
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+using std::chrono::milliseconds;
+
+/// Run time that is assumed where a job names none.
+constexpr std::int64_t default_estimate_ms = 1000;
+/// A completion is worth something up to this many times the objective.
+constexpr int late_factor = 3;
+/// Hosts in the question that the objective of a step allows for.
+constexpr int hosts_in_objective = 30;
+/// A ticket is not used in the last part of its life, because the assignment
+/// has to become durable and the order has to arrive first.
+constexpr milliseconds ticket_reserve{250};
+/// Pause after a question that was not answered.
+constexpr milliseconds question_retry{150};
+/// How far a ready step may be behind in the queue and still be asked about
+/// when nothing is free; bounds the work of one round.
+constexpr std::size_t max_steps_per_round = 600;
+
+std::int64_t estimate_of(const jobs::step& step)
+{
+    return step.estimate_ms > 0 ? step.estimate_ms : default_estimate_ms;
+}
+
+/// Length of the longest chain of the steps for which the filter holds.
+template <typename Filter>
+std::int64_t longest_chain(const std::vector<jobs::step>& steps,
+                           std::int64_t extra_ms, Filter&& is_left)
+{
+    std::vector<std::int64_t> ends(steps.size(), 0);
+    std::int64_t longest = 0;
+    for (std::size_t it = 0; it < steps.size(); ++it)
+    {
+        std::int64_t begin = 0;
+        for (const int earlier : steps[it].after)
+            begin = std::max(begin, ends[std::size_t(earlier)]);
+        ends[it] =
+            begin + (is_left(it) ? estimate_of(steps[it]) + extra_ms : 0);
+        longest = std::max(longest, ends[it]);
+    }
+    return longest;
+}
+
+bool is_step_done(const std::vector<jobs::task_record>& tasks)
+{
+    return std::all_of(tasks.begin(), tasks.end(),
+                       [](const auto& it)
+                       { return it.state == jobs::task_state::done; });
+}
+
+int count_waiting(const std::vector<jobs::task_record>& tasks)
+{
+    return int(std::count_if(tasks.begin(), tasks.end(),
+                             [](const auto& it)
+                             { return it.state ==
+                                      jobs::task_state::waiting; }));
+}
+
+/// Tasks of a size that fit; a task that takes nothing always fits.
+int units_in(const policy::resources& space, const policy::resources& size,
+             int most)
+{
+    std::int64_t n = most;
+    const auto bound = [&n](std::int64_t have, std::int64_t need)
+    {
+        if (need > 0)
+            n = std::min(n, have / need);
+    };
+    bound(space.millicpus, size.millicpus);
+    bound(space.memory_mb, size.memory_mb);
+    bound(space.accelerators, size.accelerators);
+    return int(std::max<std::int64_t>(n, 0));
+}
+
+} // namespace
+
+struct planner::candidate
+{
+    host_state* host = nullptr;
+    int slots = 0;
+    std::string ticket;
+    bool near_data = false;
+};
+
+struct planner::ready_step
+{
+    job_run* job = nullptr;
+    std::size_t position = 0;
+    int step = 0;
+    const jobs::queue* queue = nullptr;
+    int waiting = 0;
+    std::tuple<policy::outlook, int, std::int64_t> urgency;
+
+    const jobs::step& spec() const
+    {
+        return job->specification.steps[std::size_t(step)];
+    }
+    std::vector<jobs::task_record>& tasks() const
+    {
+        return job->record.open[position].tasks[std::size_t(step)];
+    }
+    step_run& state() const
+    {
+        return job->steps[position][std::size_t(step)];
+    }
+    std::int64_t occurrence() const
+    {
+        return job->record.open[position].number;
+    }
+};
+
+bool planner::is_usable(const host_state& host, std::string_view service) const
+{
+    return host.listed && host.adopted && host.reachable &&
+           !host.info.draining && host.info.service == service &&
+           host.avoid_until <= clock_.now() &&
+           !evacuated_.contains(host.info.failure_domain);
+}
+
+policy::waiting_step planner::outlook_inputs(const job_run& job,
+                                             const jobs::queue& queue) const
+{
+    const auto& steps = job.specification.steps;
+    const auto advice = queue.advice
+                            ? std::int64_t(queue.advice->base_ms +
+                                           queue.advice->per_host_ms *
+                                               hosts_in_objective)
+                            : 0;
+    const auto whole =
+        longest_chain(steps, advice, [](std::size_t) { return true; });
+    const auto& tasks = job.record.open.front().tasks;
+    policy::waiting_step out;
+    out.priority = queue.priority;
+    out.chain_left_ms = longest_chain(
+        steps, 0, [&](std::size_t it) { return !is_step_done(tasks[it]); });
+    const auto objective = std::int64_t(queue.stretch * double(whole)) +
+                           queue.target_latency_ms;
+    const auto age = std::chrono::duration_cast<milliseconds>(clock_.now() -
+                                                              job.arrived)
+                         .count();
+    out.objective_left_ms = objective - age;
+    out.late_left_ms = late_factor * objective - age;
+    return out;
+}
+
+std::vector<planner::ready_step> planner::collect_ready_steps()
+{
+    std::vector<ready_step> out;
+    const auto now = clock_.now();
+    for (const auto& [number, id] : active_)
+    {
+        auto& job = jobs_.at(id);
+        const auto queue = configuration_.queues.find(job.specification.queue);
+        if (queue == configuration_.queues.end())
+            continue;
+        open_due_occurrences(job);
+        if (job.record.open.empty())
+            continue;
+        const auto urgency =
+            policy::urgency_of(outlook_inputs(job, queue->second));
+        for (std::size_t at = 0; at < job.record.open.size(); ++at)
+        {
+            const auto& tasks = job.record.open[at].tasks;
+            for (std::size_t it = 0; it < tasks.size(); ++it)
+            {
+                const auto& spec = job.specification.steps[it];
+                const int waiting = count_waiting(tasks[it]);
+                const bool whole = std::size_t(waiting) == tasks[it].size();
+                if (waiting == 0 || (spec.all_at_once && !whole) ||
+                    job.steps[at][it].not_before > now)
+                    continue;
+                const bool blocked = std::any_of(
+                    spec.after.begin(), spec.after.end(), [&](int earlier)
+                    { return !is_step_done(tasks[std::size_t(earlier)]); });
+                if (!blocked)
+                    out.push_back(
+                        {&job, at, int(it), &queue->second, waiting, urgency});
+            }
+        }
+    }
+    std::stable_sort(out.begin(), out.end(),
+                     [](const auto& left, const auto& right)
+                     { return left.urgency < right.urgency; });
+    return out;
+}
+
+void planner::place_waiting_steps()
+{
+    const auto began = clock_.now();
+    auto steps = collect_ready_steps();
+    if (steps.size() > max_steps_per_round)
+        steps.resize(max_steps_per_round);
+    for (const auto& it : steps)
+        place_step(it);
+    metrics_.observe("mustardwick_placement_round_seconds",
+                     std::chrono::duration<double>(clock_.now() - began)
+                         .count());
+}
+
+int planner::account_room(const job_run& job, const policy::resources& size)
+{
+    const auto account =
+        configuration_.accounts.find(job.specification.account);
+    if (account == configuration_.accounts.end())
+        return std::numeric_limits<int>::max();
+    const auto& most = account->second.maximum;
+    const auto& used = usage_of(job.specification.account).used;
+    std::int64_t n = std::numeric_limits<int>::max();
+    const auto bound =
+        [&n](std::int64_t limit, std::int64_t taken, std::int64_t need)
+    {
+        if (limit > 0 && need > 0)
+            n = std::min(n, std::max<std::int64_t>(0, limit - taken) / need);
+    };
+    bound(most.millicpus, used.millicpus, size.millicpus);
+    bound(most.memory_mb, used.memory_mb, size.memory_mb);
+    bound(most.accelerators, used.accelerators, size.accelerators);
+    return int(n);
+}
+
+int planner::slots_on(const host_state& host, const ready_step& step) const
+{
+    const auto& spec = step.spec();
+    const auto& labels = host.info.labels;
+    if (!spec.required_label.empty() &&
+        std::find(labels.begin(), labels.end(), spec.required_label) ==
+            labels.end())
+        return 0;
+    // Tasks that use leftovers can slow a serving neighbour past its target;
+    // they are kept apart.
+    for (const auto& [key, it] : host.runs)
+        if ((spec.uses_leftover && it.serves_users) ||
+            (spec.target_ms > 0 && it.uses_leftover))
+            return 0;
+    auto size = spec.size;
+    if (spec.uses_leftover)
+        size.millicpus = 0;
+    int n = units_in(host.free(), size, step.waiting);
+    if (spec.max_per_host > 0)
+    {
+        int there = 0;
+        for (const auto& [key, it] : host.runs)
+            if (it.task.job == step.job->specification.id &&
+                it.task.occurrence == step.occurrence() &&
+                it.task.step == step.step)
+                ++there;
+        n = std::min(n, spec.max_per_host - there);
+    }
+    return std::max(n, 0);
+}
+
+std::vector<planner::candidate>
+planner::find_candidates(const ready_step& step,
+                         std::vector<candidate>& unknown)
+{
+    std::vector<candidate> allowed;
+    const auto now = clock_.now();
+    const auto& state = step.state();
+    for (auto& [id, host] : hosts_)
+    {
+        if (!is_usable(host, step.queue->service) || state.denied.contains(id))
+            continue;
+        candidate it;
+        it.slots = slots_on(host, step);
+        if (it.slots == 0)
+            continue;
+        it.host = &host;
+        it.near_data = step.spec().preferred_rack.empty() ||
+                       step.spec().preferred_rack == host.info.rack;
+        if (step.queue->advice)
+        {
+            const auto ticket = state.tickets.find(id);
+            if (ticket == state.tickets.end() ||
+                ticket->second.expires < now + ticket_reserve)
+            {
+                unknown.push_back(std::move(it));
+                continue;
+            }
+            it.ticket = ticket->second.ticket;
+        }
+        allowed.push_back(std::move(it));
+    }
+    // Best fit keeps large gaps for large tasks.
+    std::stable_sort(allowed.begin(), allowed.end(),
+                     [](const auto& left, const auto& right)
+                     {
+                         if (left.near_data != right.near_data)
+                             return left.near_data;
+                         return left.host->free().millicpus <
+                                right.host->free().millicpus;
+                     });
+    return allowed;
+}
+
+void planner::place_step(const ready_step& step)
+{
+    const auto& spec = step.spec();
+    const int affordable =
+        std::min(step.waiting, account_room(*step.job, spec.size));
+    if (affordable == 0 || (spec.all_at_once && affordable < step.waiting))
+        return;
+    std::vector<candidate> unknown;
+    const auto allowed = find_candidates(step, unknown);
+    int room = 0;
+    for (const auto& it : allowed)
+        room += it.slots;
+    const int missing = affordable - std::min(affordable, room);
+    if (missing > 0 && !unknown.empty())
+        ask_advice(step, std::move(unknown), missing);
+    if (room == 0 || (spec.all_at_once && room < affordable))
+        return;
+    int run = 0;
+    for (const auto& it : step.tasks())
+        run = std::max(run, it.run);
+    std::size_t at = 0;
+    int left_here = allowed.front().slots;
+    int placed = 0;
+    auto& tasks = step.tasks();
+    for (std::size_t index = 0;
+         index < tasks.size() && placed < affordable && at < allowed.size();
+         ++index)
+    {
+        if (tasks[index].state != jobs::task_state::waiting)
+            continue;
+        // All members of an all-at-once step share one run number.
+        const int number =
+            spec.all_at_once ? run + 1 : tasks[index].run + 1;
+        assign(step, int(index), number, *allowed[at].host,
+               allowed[at].ticket);
+        ++placed;
+        if (--left_here == 0 && ++at < allowed.size())
+            left_here = allowed[at].slots;
+    }
+    mark_dirty(*step.job);
+}
+
+void planner::assign(const ready_step& step, int index, int run,
+                     host_state& host, const std::string& ticket)
+{
+    auto& job = *step.job;
+    auto& record = step.tasks()[std::size_t(index)];
+    record.state = jobs::task_state::assigned;
+    record.run = run;
+    record.worker = host.info.id;
+    record.worker_born_ms = host.born_ms;
+    const jobs::task_key key{job.specification.id, step.occurrence(),
+                             step.step, index};
+    add_run(host, job, key, run, run_phase::recording);
+    start_order order;
+    order.worker = host.info.id;
+    order.task = key;
+    order.run = run;
+    order.payload = job.specification.payload;
+    order.checkpoint = record.checkpoint;
+    order.ticket = ticket;
+    job.starts.push_back(std::move(order));
+    if (job.record.state == jobs::job_state::queued)
+    {
+        job.record.state = jobs::job_state::running;
+        const auto waited = std::chrono::duration<double>(clock_.now() -
+                                                          job.arrived);
+        metrics_.observe("mustardwick_job_wait_seconds", waited.count());
+        log_event(log_level::info, "planner", "job_first_placed",
+                  {{"job", job.specification.id},
+                   {"queue", job.specification.queue},
+                   {"waited_ms", std::int64_t(waited.count() * 1000)},
+                   {"worker", host.info.id},
+                   {"configuration", configuration_.version}});
+    }
+}
+
+void planner::ask_advice(const ready_step& step,
+                         std::vector<candidate> unknown, int missing)
+{
+    auto& state = step.state();
+    if (state.question_open || state.next_question > clock_.now())
+        return;
+    // Hosts that were allowed before need no luck; then those with most room.
+    std::stable_sort(unknown.begin(), unknown.end(),
+                     [&](const auto& left, const auto& right)
+                     {
+                         const bool left_known =
+                             state.tickets.contains(left.host->info.id);
+                         const bool right_known =
+                             state.tickets.contains(right.host->info.id);
+                         if (left_known != right_known)
+                             return left_known;
+                         if (left.near_data != right.near_data)
+                             return left.near_data;
+                         return left.slots > right.slots;
+                     });
+    std::vector<int> slots;
+    for (const auto& it : unknown)
+        slots.push_back(it.slots);
+    const auto share = allowed_share_[step.queue->name].value();
+    const auto n = policy::hosts_to_ask(slots, missing, share);
+    advice_question question;
+    question.job = step.job->specification.id;
+    question.occurrence = step.occurrence();
+    question.step = step.step;
+    for (std::size_t it = 0; it < n; ++it)
+        question.workers.push_back(unknown[it].host->info.id);
+    question.priority = step.queue->priority;
+    question.expected_ms =
+        std::int64_t(step.queue->advice->base_ms +
+                     step.queue->advice->per_host_ms * double(n));
+    state.question_open = true;
+    metrics_.add("mustardwick_advice_questions_total");
+    metrics_.add("mustardwick_advice_hosts_total", n);
+    outbox_.questions.push_back(std::move(question));
+}
+
+void planner::advice_answered(const advice_question& question,
+                              std::optional<std::vector<advice_ticket>> allowed,
+                              time_point asked)
+{
+    auto* job = find_job(question.job);
+    auto* state =
+        find_step({question.job, question.occurrence, question.step, 0});
+    if (job == nullptr || state == nullptr)
+        return;
+    state->question_open = false;
+    placement_due_ = true;
+    if (!allowed)
+    {
+        state->next_question = clock_.now() + question_retry;
+        log_event(log_level::warning, "planner", "advice_not_answered",
+                  {{"job", question.job}, {"step", question.step}});
+        return;
+    }
+    const auto queue = configuration_.queues.find(job->specification.queue);
+    if (queue == configuration_.queues.end() || !queue->second.advice)
+        return;
+    // The answer was made at the earliest when the question's time had passed.
+    const auto made = asked + milliseconds(question.expected_ms);
+    const auto expires = made + milliseconds(queue->second.advice->valid_ms);
+    std::size_t news = 0;
+    for (const auto& id : question.workers)
+        if (!state->tickets.contains(id))
+            ++news;
+    std::size_t granted = 0;
+    for (const auto& it : *allowed)
+    {
+        if (!state->tickets.contains(it.worker))
+            ++granted;
+        state->tickets[it.worker] = {it.ticket, expires};
+    }
+    allowed_share_[queue->first].note(news, granted);
+    for (const auto& id : question.workers)
+        if (!state->tickets.contains(id))
+            state->denied.insert(id);
+}
+
+} // namespace mustardwick::dispatch
--- /dev/null
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -0,0 +1,495 @@
+#include <algorithm>
+#include <array>
+
+#include "mustardwick/base/log.hpp"
+#include "mustardwick/dispatch/planner.hpp"
+
+namespace mustardwick::dispatch
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+using std::chrono::milliseconds;
+
+/// Time after which a stop that has had no effect is sent again.
+constexpr milliseconds stop_resend_interval{500};
+/// A full page of ends; more may follow, so that a run that is not listed may
+/// still be among them.
+constexpr std::size_t ends_per_page = 500;
+/// Failures in a row after which a host gets no new work for a while.
+constexpr int failures_before_quarantine = 2;
+constexpr milliseconds first_quarantine{2000};
+constexpr int max_quarantine_doublings = 3;
+/// How long a host that refused an order is left alone.
+constexpr milliseconds refusal_pause{300};
+
+std::string_view name_of(jobs::run_end how)
+{
+    constexpr std::array<std::string_view, 6> names = {
+        "done", "failed", "stopped", "lapsed", "broken", "alone"};
+    return names.at(static_cast<std::size_t>(how));
+}
+
+policy::resources charged_size(const jobs::step& step)
+{
+    auto out = step.size;
+    if (step.uses_leftover)
+        out.millicpus = 0;
+    return out;
+}
+
+} // namespace
+
+jobs::task_record* planner::find_task(const jobs::task_key& task)
+{
+    auto* job = find_job(task.job);
+    if (job == nullptr || task.step < 0 || task.index < 0)
+        return nullptr;
+    for (auto& it : job->record.open)
+        if (it.number == task.occurrence)
+        {
+            const auto step = std::size_t(task.step);
+            const auto index = std::size_t(task.index);
+            if (step < it.tasks.size() && index < it.tasks[step].size())
+                return &it.tasks[step][index];
+        }
+    return nullptr;
+}
+
+step_run* planner::find_step(const jobs::task_key& task)
+{
+    auto* job = find_job(task.job);
+    if (job == nullptr)
+        return nullptr;
+    for (std::size_t it = 0; it < job->record.open.size(); ++it)
+        if (job->record.open[it].number == task.occurrence)
+            return &job->steps[it].at(std::size_t(task.step));
+    return nullptr;
+}
+
+std::int64_t planner::estimated_clock(const host_state& host) const
+{
+    const auto passed = std::chrono::duration_cast<milliseconds>(
+        clock_.now() - host.clock_read);
+    // A lower bound: a worker's clock may be 2 % slow.
+    return host.clock_ms + passed.count() * 98 / 100;
+}
+
+void planner::note_clock(host_state& host, std::int64_t clock_ms)
+{
+    if (clock_ms <= host.clock_ms)
+        return;
+    host.clock_ms = clock_ms;
+    host.clock_read = clock_.now();
+}
+
+void planner::add_run(host_state& host, const job_run& job,
+                      const jobs::task_key& task, int run, run_phase phase)
+{
+    const auto& step = job.specification.steps.at(std::size_t(task.step));
+    running it;
+    it.task = task;
+    it.run = run;
+    it.size = charged_size(step);
+    it.account = job.specification.account;
+    it.serves_users = step.target_ms > 0;
+    it.uses_leftover = step.uses_leftover;
+    it.phase = phase;
+    if (!host.runs.emplace(run_key{task, run}, it).second)
+        return;
+    host.used += it.size;
+    usage_of(it.account).used += step.size;
+}
+
+void planner::remove_run(host_state& host, const run_key& key)
+{
+    const auto it = host.runs.find(key);
+    if (it == host.runs.end())
+        return;
+    host.used -= it->second.size;
+    auto whole = it->second.size;
+    if (const auto* job = find_job(key.first.job))
+        whole = job->specification.steps[std::size_t(key.first.step)].size;
+    usage_of(it->second.account).used -= whole;
+    host.runs.erase(it);
+    placement_due_ = true;
+}
+
+void planner::stop_run(host_state& host, running& it)
+{
+    it.phase = run_phase::stopping;
+    it.stop_sent = clock_.now();
+    outbox_.stops.push_back({host.info.id, it.task, it.run});
+    metrics_.add("mustardwick_stops_total");
+}
+
+void planner::stop_step_runs(const job_run& job, std::int64_t occurrence,
+                             int step)
+{
+    const jobs::task_key first{job.specification.id, occurrence, step, 0};
+    for (auto& [id, host] : hosts_)
+    {
+        auto it = host.runs.lower_bound({first, 0});
+        while (it != host.runs.end() && it->first.first.job == first.job &&
+               it->first.first.occurrence == occurrence &&
+               it->first.first.step == step)
+        {
+            auto next = std::next(it);
+            if (it->second.phase == run_phase::recording)
+            {
+                const auto key = it->first;
+                remove_run(host, key);
+                auto* record = find_task(key.first);
+                if (record != nullptr && record->run == key.second)
+                    record->state = jobs::task_state::waiting;
+            }
+            else if (it->second.phase != run_phase::stopping)
+                stop_run(host, it->second);
+            it = next;
+        }
+    }
+}
+
+void planner::requeue(const jobs::task_key& task, int run,
+                      const std::string& checkpoint)
+{
+    auto* record = find_task(task);
+    if (record == nullptr || record->run != run ||
+        record->state != jobs::task_state::assigned)
+        return;
+    record->state = jobs::task_state::waiting;
+    record->worker.clear();
+    if (!checkpoint.empty())
+        record->checkpoint = checkpoint;
+    auto& job = *find_job(task.job);
+    mark_dirty(job);
+    placement_due_ = true;
+    const auto& step = job.specification.steps[std::size_t(task.step)];
+    // The members that are left could only wait for this one.
+    if (step.all_at_once)
+        stop_step_runs(job, task.occurrence, task.step);
+}
+
+void planner::run_lost(host_state& host, const run_key& key,
+                       std::string_view reason)
+{
+    const auto it = host.runs.find(key);
+    if (it == host.runs.end())
+        return;
+    log_event(log_level::info, "planner", "run_lost",
+              {{"task", to_string(key.first)},
+               {"run", key.second},
+               {"worker", host.info.id},
+               {"reason", reason}});
+    const auto task = key.first;
+    const auto run = key.second;
+    const auto checkpoint = it->second.checkpoint;
+    remove_run(host, {task, run});
+    requeue(task, run, checkpoint);
+}
+
+void planner::task_failed(job_run& job, const jobs::task_key& task, int run)
+{
+    const auto& step = job.specification.steps[std::size_t(task.step)];
+    if (step.long_running)
+        return;
+    auto* record = find_task(task);
+    auto* volatile_step = find_step(task);
+    if (step.all_at_once)
+    {
+        // One failure of the whole step for each run number.
+        if (volatile_step->failed_run == run)
+            return;
+        volatile_step->failed_run = run;
+        record = find_task({task.job, task.occurrence, task.step, 0});
+    }
+    ++record->failures;
+    mark_dirty(job);
+    const auto queue = configuration_.queues.find(job.specification.queue);
+    if (queue != configuration_.queues.end() &&
+        record->failures >= queue->second.attempts)
+        finish_job(job, jobs::job_state::failed);
+}
+
+void planner::apply_end(host_state& host, const jobs::ended_run& end)
+{
+    host.applied_end = end.number;
+    remove_run(host, {end.task, end.run});
+    const bool failed = end.how == jobs::run_end::failed;
+    if (failed && ++host.failures_in_a_row >= failures_before_quarantine)
+    {
+        const int doublings =
+            std::min(host.failures_in_a_row - failures_before_quarantine,
+                     max_quarantine_doublings);
+        host.avoid_until = clock_.now() + first_quarantine * (1 << doublings);
+        log_event(log_level::warning, "planner", "host_quarantined",
+                  {{"worker", host.info.id},
+                   {"failures", host.failures_in_a_row}});
+    }
+    if (end.how == jobs::run_end::done)
+        host.failures_in_a_row = 0;
+    metrics_.add("mustardwick_runs_ended_" + std::string(name_of(end.how)) +
+                 "_total");
+    auto* job = find_job(end.task.job);
+    const auto* record = find_task(end.task);
+    if (end.how != jobs::run_end::done)
+        log_event(log_level::info, "planner", "run_ended",
+                  {{"task", to_string(end.task)},
+                   {"run", end.run},
+                   {"worker", host.info.id},
+                   {"how", name_of(end.how)}});
+    if (job == nullptr || record == nullptr || record->run != end.run ||
+        record->state == jobs::task_state::done)
+        return;
+    host.undurable_ends.insert(end.number);
+    job->ends.push_back({host.info.id, host.born_ms, end.number});
+    mark_dirty(*job);
+    const auto& step = job->specification.steps[std::size_t(end.task.step)];
+    if (end.how == jobs::run_end::done && !step.long_running)
+        return task_done(*job, end.task);
+    if (failed)
+        task_failed(*job, end.task, end.run);
+    requeue(end.task, end.run, end.checkpoint);
+}
+
+void planner::forget_life(host_state& host)
+{
+    std::vector<run_key> keys;
+    for (const auto& [key, it] : host.runs)
+        keys.push_back(key);
+    for (const auto& key : keys)
+    {
+        const auto it = host.runs.find(key);
+        if (it == host.runs.end() || it->second.phase == run_phase::recording)
+            continue;
+        run_lost(host, key, "the worker's former life has ended");
+    }
+    host.undurable_ends.clear();
+    host.applied_end = 0;
+    host.clock_ms = 0;
+    host.adopted = false;
+    host.failures_in_a_row = 0;
+}
+
+void planner::settle_lost_leases()
+{
+    const auto now = clock_.now();
+    for (auto& [id, host] : hosts_)
+        if (!host.reachable && !host.runs.empty() && now > host.lease_bound)
+        {
+            log_event(log_level::warning, "planner", "lease_lapsed",
+                      {{"worker", id}, {"runs", host.runs.size()}});
+            std::vector<run_key> keys;
+            for (const auto& [key, it] : host.runs)
+                keys.push_back(key);
+            for (const auto& key : keys)
+                run_lost(host, key, "the lease has lapsed");
+        }
+}
+
+void planner::worker_listed(const jobs::worker_info& info)
+{
+    auto& host = hosts_[info.id];
+    const bool changed = !host.listed || !(host.info == info);
+    host.listed = true;
+    if (!changed)
+        return;
+    if (host.info.draining != info.draining || host.info.id.empty())
+        log_event(log_level::info, "planner", "worker_listed",
+                  {{"worker", info.id},
+                   {"failure_domain", info.failure_domain},
+                   {"draining", int(info.draining)},
+                   {"born_ms", info.born_ms}});
+    host.info = info;
+    placement_due_ = true;
+}
+
+void planner::worker_unlisted(const std::string& id)
+{
+    const auto it = hosts_.find(id);
+    if (it == hosts_.end() || !it->second.listed)
+        return;
+    it->second.listed = false;
+    log_event(log_level::info, "planner", "worker_unlisted",
+              {{"worker", id}, {"runs", it->second.runs.size()}});
+}
+
+void planner::worker_silent(const std::string& id)
+{
+    const auto it = hosts_.find(id);
+    if (it == hosts_.end() || !it->second.reachable)
+        return;
+    it->second.reachable = false;
+    log_event(log_level::warning, "planner", "worker_silent",
+              {{"worker", id}, {"runs", it->second.runs.size()}});
+}
+
+void planner::worker_reported(const std::string& id,
+                              const jobs::worker_report& report)
+{
+    const auto found = hosts_.find(id);
+    if (found == hosts_.end())
+        return;
+    auto& host = found->second;
+    if (!host.reachable || !host.adopted)
+        placement_due_ = true;
+    if (host.born_ms != report.born_ms)
+    {
+        log_event(log_level::info, "planner", "worker_began_new_life",
+                  {{"worker", id},
+                   {"born_ms", report.born_ms},
+                   {"former_born_ms", host.born_ms}});
+        forget_life(host);
+        host.born_ms = report.born_ms;
+    }
+    host.reachable = true;
+    host.adopted = true;
+    note_clock(host, report.clock_ms);
+    for (const auto& it : report.ended)
+        if (it.number > host.applied_end)
+            apply_end(host, it);
+    compare_with_report(host, report);
+}
+
+void planner::note_listed_run(host_state& host,
+                              const jobs::running_run& listed)
+{
+    const run_key key{listed.task, listed.run};
+    auto it = host.runs.find(key);
+    if (it == host.runs.end())
+    {
+        auto* job = find_job(listed.task.job);
+        const bool known =
+            job != nullptr && listed.task.step >= 0 &&
+            std::size_t(listed.task.step) < job->specification.steps.size();
+        if (!known)
+        {
+            outbox_.stops.push_back({host.info.id, listed.task, listed.run});
+            return;
+        }
+        add_run(host, *job, listed.task, listed.run, run_phase::started);
+        it = host.runs.find(key);
+        const auto* record = find_task(listed.task);
+        const bool current = record != nullptr && record->run == listed.run &&
+                             record->state == jobs::task_state::assigned &&
+                             record->worker == host.info.id;
+        if (!current)
+            stop_run(host, it->second);
+    }
+    auto& run = it->second;
+    if (!listed.checkpoint.empty())
+        run.checkpoint = listed.checkpoint;
+    if (run.phase == run_phase::ordered || run.phase == run_phase::inherited)
+    {
+        run.phase = run_phase::started;
+        run.started = clock_.now();
+    }
+    if (run.phase == run_phase::stopping &&
+        clock_.now() - run.stop_sent > stop_resend_interval)
+        stop_run(host, run);
+}
+
+bool planner::is_gone(const running& it, std::int64_t clock_ms) const
+{
+    const bool is_void = it.void_after_ms != 0 && clock_ms > it.void_after_ms;
+    switch (it.phase)
+    {
+    case run_phase::recording:
+        return false;
+    case run_phase::inherited:
+        // Orders of the former leader do nothing once the worker has answered
+        // this one.
+        return true;
+    case run_phase::ordered:
+        return is_void;
+    case run_phase::started:
+        return clock_ms > it.started_clock_ms;
+    case run_phase::stopping:
+        return is_void ||
+               (it.stopped_clock_ms != 0 && clock_ms > it.stopped_clock_ms);
+    }
+    return false;
+}
+
+void planner::compare_with_report(host_state& host,
+                                  const jobs::worker_report& report)
+{
+    std::set<run_key> listed;
+    for (const auto& it : report.running)
+    {
+        note_listed_run(host, it);
+        listed.insert({it.task, it.run});
+    }
+    if (report.ended.size() >= ends_per_page)
+        return;
+    std::vector<run_key> gone;
+    for (const auto& [key, it] : host.runs)
+        if (!listed.contains(key) && is_gone(it, report.clock_ms))
+            gone.push_back(key);
+    for (const auto& key : gone)
+        run_lost(host, key, "the worker does not list it");
+}
+
+void planner::start_answered(const start_order& order,
+                             const jobs::order_reply& reply)
+{
+    using jobs::order_result;
+    const auto found = hosts_.find(order.worker);
+    if (found == hosts_.end())
+        return;
+    auto& host = found->second;
+    if (reply.clock_ms != 0)
+        note_clock(host, reply.clock_ms);
+    const run_key key{order.task, order.run};
+    const auto it = host.runs.find(key);
+    if (it == host.runs.end())
+        return;
+    if (reply.result == order_result::accepted)
+    {
+        metrics_.add("mustardwick_starts_total");
+        it->second.started_clock_ms = reply.clock_ms;
+        it->second.started = clock_.now();
+        if (it->second.phase == run_phase::ordered)
+            it->second.phase = run_phase::started;
+        return;
+    }
+    metrics_.add("mustardwick_starts_refused_total");
+    log_event(log_level::info, "planner", "start_not_accepted",
+              {{"task", to_string(order.task)},
+               {"run", order.run},
+               {"worker", order.worker},
+               {"result", int(reply.result)}});
+    // Both may still run: the order until its deadline has passed, and what a
+    // successor now controls.
+    if (reply.result == order_result::unknown ||
+        reply.result == order_result::fenced)
+        return;
+    if (reply.result == order_result::bad_ticket)
+    {
+        if (auto* step = find_step(order.task))
+            step->tickets.erase(order.worker);
+    }
+    else if (reply.result != order_result::stale_run &&
+             reply.result != order_result::expired)
+        host.avoid_until =
+            std::max(host.avoid_until, clock_.now() + refusal_pause);
+    run_lost(host, key, "the order was not accepted");
+}
+
+void planner::stop_answered(const stop_order& order,
+                            const jobs::order_reply& reply)
+{
+    const auto found = hosts_.find(order.worker);
+    if (found == hosts_.end() ||
+        reply.result != jobs::order_result::accepted)
+        return;
+    note_clock(found->second, reply.clock_ms);
+    const auto it = found->second.runs.find({order.task, order.run});
+    if (it != found->second.runs.end())
+        it->second.stopped_clock_ms = reply.clock_ms;
+}
+
+} // namespace mustardwick::dispatch
--- /dev/null
+++ b/src/mustardwick/entry/advice_pool.cpp
@@ -0,0 +1,144 @@
+#include "mustardwick/entry/advice_pool.hpp"
+
+#include <algorithm>
+
+#include "mustardwick/wire/codec.hpp"
+
+namespace mustardwick::entry
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// Questions that take longer than this are long.
+constexpr std::int64_t long_question_ms = 150;
+/// Part of the channels that long questions may use.
+constexpr double long_share = 0.65;
+/// Time beyond the expected one after which a question is given up.
+constexpr milliseconds answer_slack{700};
+/// How long a member that failed to answer gets no questions.
+constexpr milliseconds failed_pause{800};
+/// The leader's own channel.
+const std::string own_channel;
+
+} // namespace
+
+advice_pool::advice_pool(const base::clock& time, aio::peer_hub& peers,
+                         platform::advice_client& local,
+                         base::metrics& metrics, member_list members,
+                         answer done)
+    : clock_(time), peers_(peers), local_(local), metrics_(metrics),
+      members_(std::move(members)), done_(std::move(done))
+{
+}
+
+void advice_pool::stop()
+{
+    stopped_ = true;
+    waiting_.clear();
+}
+
+void advice_pool::ask(dispatch::advice_question question)
+{
+    const auto it = std::find_if(
+        waiting_.begin(), waiting_.end(), [&](const auto& other)
+        { return other.priority > question.priority; });
+    waiting_.insert(it, std::move(question));
+    dispatch_waiting();
+}
+
+void advice_pool::dispatch_waiting()
+{
+    if (stopped_ || waiting_.empty())
+        return;
+    const auto members = members_();
+    const auto most_long = std::max<std::size_t>(
+        1, std::size_t(double(members.size() + 1) * long_share));
+    auto it = waiting_.begin();
+    while (it != waiting_.end())
+    {
+        const bool is_long = it->expected_ms > long_question_ms;
+        if (is_long && long_open_ >= most_long)
+        {
+            ++it;
+            continue;
+        }
+        if (!send(*it, members))
+            return;
+        it = waiting_.erase(it);
+    }
+}
+
+bool advice_pool::send(const dispatch::advice_question& question,
+                       const std::vector<member_record>& members)
+{
+    const auto now = clock_.now();
+    const auto is_free = [&](const std::string& name)
+    {
+        const auto& it = channels_[name];
+        return it.open == 0 && it.avoid_until <= now;
+    };
+    const bool is_long = question.expected_ms > long_question_ms;
+    const auto timeout = milliseconds(question.expected_ms) + answer_slack;
+    const auto finish = [self = shared_from_this(), question, is_long,
+                         now](const std::string& name, auto allowed)
+    { self->finished(name, is_long, question, std::move(allowed), now); };
+    const auto member =
+        std::find_if(members.begin(), members.end(),
+                     [&](const auto& it) { return is_free(it.name); });
+    if (member != members.end())
+    {
+        ++channels_[member->name].open;
+        long_open_ += is_long ? 1 : 0;
+        advice_request request{question.job, question.occurrence,
+                               question.step, question.workers,
+                               timeout.count()};
+        peers_.call({member->address, member->port},
+                    wire::message_type::ask_advice, wire::encode(request),
+                    timeout + milliseconds(100),
+                    [finish, name = member->name](aio::peer_result result)
+                    {
+                        std::optional<std::vector<dispatch::advice_ticket>>
+                            allowed;
+                        std::optional<advice_reply> reply;
+                        if (result.answered)
+                            reply = wire::decode<advice_reply>(result.payload);
+                        if (reply && reply->answered)
+                            allowed = std::move(reply->allowed);
+                        finish(name, std::move(allowed));
+                    });
+        return true;
+    }
+    if (!is_free(own_channel))
+        return false;
+    ++channels_[own_channel].open;
+    long_open_ += is_long ? 1 : 0;
+    local_.ask(question, timeout,
+               [finish](auto allowed)
+               { finish(own_channel, std::move(allowed)); });
+    return true;
+}
+
+void advice_pool::finished(
+    const std::string& member, bool is_long,
+    const dispatch::advice_question& question,
+    std::optional<std::vector<dispatch::advice_ticket>> allowed,
+    base::steady_time asked)
+{
+    auto& it = channels_[member];
+    --it.open;
+    long_open_ -= is_long ? 1 : 0;
+    const auto now = clock_.now();
+    if (!allowed)
+        it.avoid_until = now + failed_pause;
+    metrics_.observe("mustardwick_advice_seconds",
+                     std::chrono::duration<double>(now - asked).count());
+    if (stopped_)
+        return;
+    done_(question, std::move(allowed), asked);
+    dispatch_waiting();
+}
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -0,0 +1,477 @@
+#include "mustardwick/entry/cell_leader.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include "mustardwick/base/error.hpp"
+#include "mustardwick/base/log.hpp"
+#include "mustardwick/wire/codec.hpp"
+#include "platform/operator_rows.hpp"
+
+namespace mustardwick::entry
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+using std::chrono::milliseconds;
+
+/// An unused duty is confirmed in the store this often.
+constexpr milliseconds renewal_interval{400};
+/// Time between two looks at the registry; a draining worker has to be known
+/// within 2 s.
+constexpr milliseconds registry_interval{350};
+constexpr milliseconds read_timeout{1000};
+constexpr milliseconds read_retry{120};
+/// Orders wait this long for others, so that they share a transaction.
+constexpr milliseconds work_delay{4};
+constexpr milliseconds duty_check_interval{100};
+/// The store fails for this daemon alone when a member gets answers this long
+/// after its failures began.
+constexpr milliseconds failing_before_hand_over{1200};
+constexpr milliseconds newer_answer_margin{300};
+constexpr int page_rows = 500;
+/// The store takes 100 entries and 1 MB a transaction; the head row is one,
+/// and base64 enlarges values by a third.
+constexpr std::size_t max_rows_per_commit = 96;
+constexpr std::size_t max_bytes_per_commit = 600'000;
+
+dispatch::planner_options planner_options_of(const settings& options)
+{
+    dispatch::planner_options out;
+    out.max_lease = options.limits.max_lease;
+    out.retention = options.limits.retention;
+    // A timer may fire late but never early; clocks differ a little.
+    out.early_start = options.limits.early_start / 2;
+    return out;
+}
+
+std::string answer(const job_reply& reply)
+{
+    return wire::encode(reply);
+}
+
+} // namespace
+
+cell_leader::cell_leader(environment env, head_record head,
+                         std::int64_t head_version, lost_handler lost)
+    : env_(env), head_(std::move(head)), lost_(std::move(lost)),
+      log_(std::make_shared<state_log>(env.io, env.clock, env.store,
+                                       env.metrics, head_, head_version)),
+      planner_(env.clock, planner_options_of(env.options), env.metrics),
+      work_timer_(env.io), registry_timer_(env.io), duty_timer_(env.io)
+{
+}
+
+void cell_leader::start(const operator_state& state)
+{
+    log_event(log_level::info, "leader", "duty_acquired",
+              {{"epoch", head_.epoch}});
+    const auto self = shared_from_this();
+    beats_ = std::make_shared<member_beats>(
+        env_.io, env_.clock, env_.peers,
+        leader_beat{head_.epoch, head_.leader, head_.address, head_.port},
+        [self](std::int64_t) { self->step_down("a newer leader exists", {}); });
+    beats_->start();
+    advice_ = std::make_shared<advice_pool>(
+        env_.clock, env_.peers, env_.advice, env_.metrics,
+        [self] { return self->beats_->reachable(); },
+        [self](const auto& question, auto allowed, auto asked)
+        {
+            self->planner_.advice_answered(question, std::move(allowed),
+                                           asked);
+            self->schedule_work();
+        });
+    workers_ = std::make_shared<worker_links>(
+        env_.io, env_.clock, env_.metrics, planner_, head_.epoch,
+        worker_links::events{
+            [self] { self->schedule_work(); },
+            [self] { self->step_down("a worker follows a newer leader", {}); },
+            [self] { return self->has_authority(); }});
+    configure(state);
+    keep_duty();
+    load_members();
+    load_table(job_table, "");
+}
+
+void cell_leader::stop()
+{
+    stopped_ = true;
+    log_->stop();
+    work_timer_.cancel();
+    registry_timer_.cancel();
+    duty_timer_.cancel();
+    if (beats_)
+        beats_->stop();
+    if (advice_)
+        advice_->stop();
+    if (workers_)
+        workers_->stop();
+    // These hold callbacks that refer to this object, and one of them may be
+    // the caller.
+    boost::asio::post(env_.io,
+                      [self = shared_from_this()]
+                      {
+                          self->beats_.reset();
+                          self->advice_.reset();
+                          self->workers_.reset();
+                      });
+}
+
+void cell_leader::configure(const operator_state& state)
+{
+    if (state.configuration && beats_)
+        beats_->set_configuration(state.configuration->version);
+    if (state.configuration)
+        planner_.set_configuration(*state.configuration);
+    planner_.set_evacuated(state.evacuated);
+    schedule_work();
+}
+
+void cell_leader::member_joined(const member_record& record)
+{
+    if (!stopped_)
+        beats_->add(record);
+}
+
+bool cell_leader::has_authority() const
+{
+    if (stopped_)
+        return false;
+    auto confirmed = log_->confirmed();
+    if (const auto promised = beats_->confirmed())
+        confirmed = std::max(confirmed, *promised);
+    const dispatch::planner_options options;
+    return env_.clock.now() - confirmed < options.former_authority;
+}
+
+void cell_leader::load_members()
+{
+    env_.store.read(
+        cell_table, member_partition, "", page_rows, read_timeout,
+        [self = shared_from_this()](durable::store_reply reply)
+        {
+            if (self->stopped_)
+                return;
+            if (!reply.ok())
+                // Members also join by themselves; the rows only speed it up.
+                return log_event(log_level::warning, "leader",
+                                 "members_not_read",
+                                 {{"reason", reply.reason}});
+            for (const auto& it : reply.rows)
+                if (const auto record = wire::decode<member_record>(it.value))
+                    self->beats_->add(*record);
+        });
+}
+
+void cell_leader::load_table(const std::string& table, const std::string& from)
+{
+    env_.store.read(
+        table, plan_partition, from, page_rows, read_timeout,
+        [self = shared_from_this(), table,
+         from](durable::store_reply reply)
+        {
+            if (self->stopped_)
+                return;
+            if (!reply.ok())
+            {
+                self->registry_timer_.expires_after(read_retry);
+                self->registry_timer_.async_wait(
+                    [self, table, from](boost::system::error_code ec)
+                    {
+                        if (!ec)
+                            self->load_table(table, from);
+                    });
+                return;
+            }
+            for (const auto& it : reply.rows)
+            {
+                auto& job = self->stored_[it.address.key];
+                if (table == job_table)
+                    job.specification = wire::decode<jobs::job>(it.value);
+                else
+                    job.record = wire::decode<jobs::job_record>(it.value);
+            }
+            if (reply.has_more && !reply.rows.empty())
+                // The next key in byte order.
+                self->load_table(table,
+                                 reply.rows.back().address.key + '\0');
+            else if (table == job_table)
+                self->load_table(progress_table, "");
+            else
+                self->loaded();
+        });
+}
+
+void cell_leader::loaded()
+{
+    std::size_t active = 0;
+    for (auto& [id, it] : stored_)
+    {
+        if (!it.specification || !it.record)
+        {
+            log_event(log_level::error, "leader", "job_rows_incomplete",
+                      {{"job", id}});
+            continue;
+        }
+        active += is_final(it.record->state) ? 0 : 1;
+        planner_.restore(std::move(*it.specification), std::move(*it.record));
+    }
+    log_event(log_level::info, "leader", "state_loaded",
+              {{"jobs", stored_.size()},
+               {"active", active},
+               {"epoch", head_.epoch}});
+    stored_.clear();
+    loaded_ = true;
+    poll_registry(true);
+}
+
+void cell_leader::poll_registry(bool whole)
+{
+    if (stopped_)
+        return;
+    const auto done = [self = shared_from_this(),
+                       whole](durable::store_reply reply)
+    {
+        if (self->stopped_)
+            return;
+        if (reply.end == durable::store_end::history_gone)
+            return self->poll_registry(true);
+        const bool whole_next = whole && !reply.ok();
+        if (reply.ok())
+        {
+            self->registry_version_ =
+                std::max(self->registry_version_, reply.version);
+            self->apply_registry(reply.rows, whole);
+        }
+        self->registry_timer_.expires_after(whole_next ? read_retry
+                                                       : registry_interval);
+        self->registry_timer_.async_wait(
+            [self, whole_next](boost::system::error_code ec)
+            {
+                if (!ec)
+                    self->poll_registry(whole_next);
+            });
+    };
+    if (whole)
+        env_.store.read(platform::worker_table, "", "", page_rows,
+                        read_timeout, done);
+    else
+        env_.store.changes(platform::worker_table, registry_version_,
+                           milliseconds(0), read_timeout, done);
+}
+
+void cell_leader::apply_registry(const std::vector<durable::row>& rows,
+                                 bool whole)
+{
+    std::set<std::string> seen;
+    for (const auto& it : rows)
+    {
+        const auto& id = it.address.key;
+        std::optional<jobs::worker_info> info;
+        if (!it.deleted)
+        {
+            info = platform::decode_worker(id, it.value);
+            if (!info)
+                log_event(log_level::warning, "registry", "entry_refused",
+                          {{"worker", id},
+                           {"reason", base::last_error().text()}});
+        }
+        if (info)
+        {
+            seen.insert(id);
+            known_workers_.insert(id);
+            planner_.worker_listed(*info);
+            workers_->listed(*info);
+        }
+        else if (known_workers_.erase(id) > 0)
+        {
+            planner_.worker_unlisted(id);
+            workers_->unlisted(id);
+        }
+    }
+    if (whole)
+        for (const auto& id : std::set<std::string>(known_workers_))
+            if (!seen.contains(id))
+            {
+                known_workers_.erase(id);
+                planner_.worker_unlisted(id);
+                workers_->unlisted(id);
+            }
+    schedule_work();
+}
+
+void cell_leader::schedule_work()
+{
+    if (work_scheduled_ || stopped_)
+        return;
+    work_scheduled_ = true;
+    work_timer_.expires_after(work_delay);
+    work_timer_.async_wait(
+        [self = shared_from_this()](boost::system::error_code ec)
+        {
+            self->work_scheduled_ = false;
+            if (!ec && !self->stopped_)
+                self->work();
+        });
+}
+
+void cell_leader::work()
+{
+    if (!loaded_)
+        return;
+    auto orders = planner_.take_orders();
+    for (auto& it : orders.questions)
+        advice_->ask(std::move(it));
+    workers_->deliver(std::move(orders));
+    pump_commits();
+}
+
+void cell_leader::pump_commits()
+{
+    if (log_->is_busy() || stopped_)
+        return;
+    std::vector<durable::row_write> writes;
+    std::vector<durable::row_address> removals;
+    for (auto& it : planner_.next_commit(max_rows_per_commit,
+                                         max_bytes_per_commit))
+    {
+        durable::row_address job{job_table, plan_partition, it.job};
+        durable::row_address progress{progress_table, plan_partition, it.job};
+        if (it.progress.empty())
+        {
+            removals.push_back(std::move(job));
+            removals.push_back(std::move(progress));
+            continue;
+        }
+        if (!it.specification.empty())
+            writes.push_back({std::move(job), std::move(it.specification)});
+        writes.push_back({std::move(progress), std::move(it.progress)});
+    }
+    const bool renewal_due =
+        releasing_ ||
+        env_.clock.now() - log_->confirmed() >= renewal_interval;
+    if (writes.empty() && removals.empty() && !renewal_due)
+        return;
+    if (releasing_)
+        log_->set_released();
+    log_->commit(std::move(writes), std::move(removals),
+                 [self = shared_from_this()](log_result result)
+                 {
+                     if (!self->stopped_)
+                         self->committed(result == log_result::durable);
+                 });
+}
+
+void cell_leader::committed(bool durable)
+{
+    if (!durable)
+        return step_down("another daemon holds the duty", {});
+    if (planner_.commit_in_flight())
+        planner_.commit_done();
+    if (releasing_)
+    {
+        const auto members = beats_->reachable();
+        std::optional<member_record> successor;
+        if (!members.empty())
+            successor = members.front();
+        return step_down("the duty was given up", successor);
+    }
+    work();
+}
+
+void cell_leader::release()
+{
+    if (stopped_ || releasing_)
+        return;
+    releasing_ = true;
+    pump_commits();
+}
+
+void cell_leader::keep_duty()
+{
+    if (stopped_)
+        return;
+    schedule_work();
+    if (!loaded_)
+        pump_commits();
+    const auto failing = log_->failing_since();
+    if (failing && env_.clock.now() - *failing > failing_before_hand_over)
+        if (const auto member =
+                beats_->member_with_store(*failing + newer_answer_margin))
+            return step_down("the store answers another member", member);
+    duty_timer_.expires_after(duty_check_interval);
+    duty_timer_.async_wait(
+        [self = shared_from_this()](boost::system::error_code ec)
+        {
+            if (!ec)
+                self->keep_duty();
+        });
+}
+
+void cell_leader::step_down(std::string_view reason,
+                            std::optional<member_record> successor)
+{
+    if (stopped_)
+        return;
+    log_event(log_level::warning, "leader", "duty_lost",
+              {{"epoch", head_.epoch},
+               {"reason", reason},
+               {"successor", successor ? successor->name : "-"}});
+    stop();
+    lost_(std::move(successor));
+}
+
+bool cell_leader::handle(wire::message_type type, const std::string& payload,
+                         const aio::peer_responder& respond)
+{
+    using wire::message_type;
+    if (!loaded_ || releasing_ || !has_authority())
+        return false;
+    if (type == message_type::submit_job)
+    {
+        auto job = wire::decode<jobs::job>(payload);
+        if (!job)
+            return false;
+        planner_.submit(std::move(*job), [respond]
+                        { respond(answer({reply_status::done, {}, 0})); });
+        schedule_work();
+        return true;
+    }
+    if (type == message_type::count_waiting)
+    {
+        const auto query = wire::decode<queue_query>(payload);
+        if (!query)
+            return false;
+        respond(answer({reply_status::done,
+                        {},
+                        planner_.waiting_jobs(query->queue)}));
+        return true;
+    }
+    const auto query = wire::decode<job_query>(payload);
+    if (!query)
+        return false;
+    if (type == message_type::cancel_job)
+    {
+        planner_.cancel(query->id,
+                        [respond](dispatch::cancel_result result)
+                        {
+                            const bool known =
+                                result == dispatch::cancel_result::cancelled;
+                            respond(answer(
+                                {known ? reply_status::done
+                                       : reply_status::unknown_job,
+                                 {},
+                                 0}));
+                        });
+        schedule_work();
+        return true;
+    }
+    const auto state = planner_.state_of(query->id);
+    respond(answer({state ? reply_status::done : reply_status::unknown_job,
+                    state.value_or(jobs::job_state::queued), 0}));
+    return true;
+}
+
+} // namespace mustardwick::entry
