--- /dev/null
+++ b/src/mustardwick/entry/config_watch.cpp
@@ -0,0 +1,148 @@
+#include "mustardwick/entry/config_watch.hpp"
+
+#include "mustardwick/base/error.hpp"
+#include "mustardwick/base/log.hpp"
+#include "platform/operator_rows.hpp"
+
+namespace mustardwick::entry
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+using std::chrono::milliseconds;
+
+/// The store answers a watch after this time at the latest. A silent
+/// connection is noticed one slack later, within half of the 2 s in which a
+/// configuration has to be in force.
+constexpr milliseconds watch_wait{1000};
+constexpr milliseconds watch_slack{500};
+constexpr milliseconds read_timeout{1000};
+constexpr milliseconds retry_pause{150};
+constexpr int page_rows = 500;
+
+} // namespace
+
+config_watch::config_watch(boost::asio::io_context& io,
+                           platform::store_client& store,
+                           change_handler changed)
+    : timer_(io), store_(store), changed_(std::move(changed))
+{
+}
+
+void config_watch::start()
+{
+    read_all();
+}
+
+void config_watch::stop()
+{
+    stopped_ = true;
+    timer_.cancel();
+}
+
+void config_watch::read_all()
+{
+    if (stopped_)
+        return;
+    store_.read(platform::operator_table, "", "", page_rows, read_timeout,
+                [self = shared_from_this()](durable::store_reply reply)
+                {
+                    if (!reply.ok())
+                        return self->retry(true);
+                    self->version_ = reply.version;
+                    // Rows that are gone since the last read are not listed.
+                    self->state_.evacuated.clear();
+                    self->apply(reply.rows);
+                    self->follow();
+                });
+}
+
+void config_watch::follow()
+{
+    if (stopped_)
+        return;
+    store_.changes(
+        platform::operator_table, version_, watch_wait,
+        watch_wait + watch_slack,
+        [self = shared_from_this()](durable::store_reply reply)
+        {
+            if (reply.end == durable::store_end::history_gone)
+                return self->read_all();
+            if (!reply.ok())
+                return self->retry(false);
+            if (!self->connected_)
+                log_event(log_level::info, "config", "store_regained");
+            self->connected_ = true;
+            self->version_ = std::max(self->version_, reply.version);
+            if (!reply.rows.empty())
+                self->apply(reply.rows);
+            self->follow();
+        });
+}
+
+void config_watch::retry(bool reread)
+{
+    if (connected_)
+        log_event(log_level::warning, "config", "store_lost");
+    connected_ = false;
+    timer_.expires_after(retry_pause);
+    timer_.async_wait(
+        [self = shared_from_this(), reread](boost::system::error_code ec)
+        {
+            if (ec)
+                return;
+            if (reread)
+                self->read_all();
+            else
+                self->follow();
+        });
+}
+
+void config_watch::offer(const std::string& text)
+{
+    apply_configuration(text);
+    changed_(state_);
+}
+
+void config_watch::apply_configuration(const std::string& text)
+{
+    auto next = platform::decode_configuration(text);
+    if (!next)
+        return log_event(log_level::error, "config", "configuration_refused",
+                         {{"reason", base::last_error().text()}});
+    auto& current = state_.configuration;
+    if (current && next->version <= current->version)
+        return;
+    log_event(log_level::info, "config", "configuration_applied",
+              {{"version", next->version},
+               {"queues", next->queues.size()},
+               {"accounts", next->accounts.size()}});
+    current = std::move(next);
+    state_.configuration_text = text;
+}
+
+void config_watch::apply(const std::vector<durable::row>& rows)
+{
+    for (const auto& it : rows)
+    {
+        if (it.address.key == platform::configuration_key && !it.deleted)
+            apply_configuration(it.value);
+        else if (const auto domain =
+                     platform::evacuated_domain(it.address.key))
+        {
+            if (it.deleted)
+                state_.evacuated.erase(*domain);
+            else
+                state_.evacuated.insert(*domain);
+            log_event(log_level::info, "config", "evacuation_changed",
+                      {{"failure_domain", *domain},
+                       {"evacuated", int(!it.deleted)}});
+        }
+    }
+    changed_(state_);
+}
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/src/mustardwick/entry/duty_seeker.cpp
@@ -0,0 +1,189 @@
+#include "mustardwick/entry/duty_seeker.hpp"
+
+#include <algorithm>
+
+#include "mustardwick/base/identity.hpp"
+#include "mustardwick/base/log.hpp"
+#include "mustardwick/entry/cell_leader.hpp"
+#include "mustardwick/wire/codec.hpp"
+
+namespace mustardwick::entry
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+using std::chrono::milliseconds;
+
+constexpr milliseconds tick_interval{100};
+/// Three beats without a sign of life.
+constexpr milliseconds silence_limit{1000};
+constexpr milliseconds read_interval{200};
+constexpr milliseconds read_timeout{800};
+constexpr milliseconds acquire_timeout{1000};
+/// A leader renews the row every 400 ms.
+constexpr milliseconds takeover_after{1000};
+/// Small hosts let larger ones go first, since the leader works most.
+constexpr double small_host_capacity = 0.2;
+constexpr milliseconds small_host_delay{300};
+
+durable::row_address head_address()
+{
+    return {cell_table, plan_partition, head_key};
+}
+
+} // namespace
+
+duty_seeker::duty_seeker(boost::asio::io_context& io, const base::clock& time,
+                         platform::store_client& store, member_record self,
+                         events on)
+    : timer_(io), clock_(time), store_(store), self_(std::move(self)),
+      on_(std::move(on))
+{
+}
+
+void duty_seeker::start()
+{
+    tick();
+}
+
+void duty_seeker::stop()
+{
+    stopped_ = true;
+    timer_.cancel();
+}
+
+void duty_seeker::heard()
+{
+    last_heard_ = clock_.now();
+    observed_version_.reset();
+}
+
+void duty_seeker::leader_gone()
+{
+    last_heard_ = {};
+}
+
+void duty_seeker::take_now()
+{
+    take_now_ = true;
+    leader_gone();
+    next_read_ = {};
+    if (!call_open_ && !paused_)
+        read_head();
+}
+
+void duty_seeker::set_paused(bool paused)
+{
+    paused_ = paused;
+    observed_version_.reset();
+    last_heard_ = clock_.now();
+    take_now_ = false;
+}
+
+void duty_seeker::tick()
+{
+    if (stopped_)
+        return;
+    const auto now = clock_.now();
+    if (!paused_ && !call_open_ && now - last_heard_ >= silence_limit &&
+        now >= next_read_)
+        read_head();
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [self = shared_from_this()](boost::system::error_code ec)
+        {
+            if (!ec)
+                self->tick();
+        });
+}
+
+void duty_seeker::read_head()
+{
+    call_open_ = true;
+    next_read_ = clock_.now() + read_interval;
+    store_.read(cell_table, plan_partition, head_key, 1, read_timeout,
+                [self = shared_from_this()](durable::store_reply reply)
+                {
+                    self->call_open_ = false;
+                    if (!self->stopped_ && !self->paused_)
+                        self->head_read(reply);
+                });
+}
+
+void duty_seeker::head_read(const durable::store_reply& reply)
+{
+    if (!reply.ok())
+    {
+        // Nothing is known of the time in between.
+        observed_version_.reset();
+        return;
+    }
+    const auto now = clock_.now();
+    const auto it = std::find_if(reply.rows.begin(), reply.rows.end(),
+                                 [](const auto& row)
+                                 { return row.address == head_address(); });
+    if (it == reply.rows.end())
+        return acquire(1, 0);
+    const auto head = wire::decode<head_record>(it->value);
+    if (!head)
+    {
+        log_event(log_level::error, "duty", "head_row_unreadable");
+        return;
+    }
+    if (attempt_ && head->transaction == attempt_->transaction)
+        return acquired(it->version);
+    const bool own = head->leader == self_.name;
+    if (head->released || own || take_now_)
+        return acquire(head->epoch + 1, it->version);
+    if (observed_version_ != it->version)
+    {
+        observed_version_ = it->version;
+        observed_since_ = now;
+        on_.leader_seen(*head);
+        return;
+    }
+    const auto wait =
+        takeover_after + (self_.capacity < small_host_capacity
+                              ? small_host_delay
+                              : milliseconds(0));
+    if (now - observed_since_ >= wait)
+        acquire(head->epoch + 1, it->version);
+}
+
+void duty_seeker::acquire(std::int64_t epoch, std::int64_t version)
+{
+    log_event(log_level::info, "duty", "duty_sought",
+              {{"epoch", epoch}, {"head_version", version}});
+    attempt_ = head_record{epoch,       self_.name,        self_.address,
+                           self_.port,  base::unique_id(), false};
+    durable::transaction tx;
+    tx.conditions.push_back({head_address(), version});
+    tx.writes.push_back({head_address(), wire::encode(*attempt_)});
+    call_open_ = true;
+    store_.commit(tx, acquire_timeout,
+                  [self = shared_from_this()](durable::store_reply reply)
+                  {
+                      self->call_open_ = false;
+                      self->observed_version_.reset();
+                      if (self->stopped_ || self->paused_)
+                          return;
+                      if (reply.ok())
+                          return self->acquired(reply.version);
+                      // A lost answer shows in the row at the next read.
+                      if (reply.end == durable::store_end::conflict)
+                          self->head_read(reply);
+                  });
+}
+
+void duty_seeker::acquired(std::int64_t version)
+{
+    auto head = std::move(*attempt_);
+    attempt_.reset();
+    set_paused(true);
+    on_.acquired(std::move(head), version);
+}
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/src/mustardwick/entry/entry_node.cpp
@@ -0,0 +1,532 @@
+#include "mustardwick/entry/entry_node.hpp"
+
+#include <csignal>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "mustardwick/aio/http_listener.hpp"
+#include "mustardwick/aio/peer_hub.hpp"
+#include "mustardwick/base/error.hpp"
+#include "mustardwick/base/identity.hpp"
+#include "mustardwick/base/log.hpp"
+#include "mustardwick/entry/cell_leader.hpp"
+#include "mustardwick/entry/duty_seeker.hpp"
+#include "mustardwick/entry/gateway.hpp"
+#include "mustardwick/wire/codec.hpp"
+#include "platform/caller_headers.hpp"
+
+namespace mustardwick::entry
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using base::log_event;
+using base::log_level;
+using std::chrono::milliseconds;
+using wire::message_type;
+
+constexpr milliseconds join_timeout{700};
+constexpr milliseconds startup_retry{150};
+constexpr milliseconds startup_timeout{1000};
+constexpr milliseconds configuration_timeout{1000};
+/// Pause between two attempts to reach a leader.
+constexpr milliseconds leader_retry{60};
+/// Longest wait for one answer of the leader; a commit to a slow store takes
+/// most of a second.
+constexpr milliseconds leader_call_timeout{1500};
+/// The balancer stops sending connections after two failed checks, one a
+/// second.
+constexpr milliseconds balancer_delay{2300};
+/// Time kept back of the grace period for closing connections.
+constexpr milliseconds shutdown_reserve{1200};
+constexpr milliseconds shutdown_poll{50};
+constexpr std::size_t secret_bytes = 32;
+constexpr int ok = 200;
+constexpr int not_found = 404;
+constexpr int unavailable = 503;
+
+struct leader_address
+{
+    std::int64_t epoch = 0;
+    std::string name;
+    wire::endpoint endpoint;
+};
+
+} // namespace
+
+struct entry_node::impl : std::enable_shared_from_this<impl>
+{
+    explicit impl(settings values)
+        : options(std::move(values)), store(io, options.store, metrics),
+          advice(io, options.advisor), signals(io, SIGTERM, SIGINT, SIGHUP),
+          startup_timer(io), shutdown_timer(io)
+    {
+        self_record = {options.name, options.peers.address,
+                       options.peers.port, options.capacity};
+    }
+
+    bool start();
+    void read_secret();
+    void start_peers(const std::string& secret);
+    void write_member_row();
+    void wait_for_signal();
+    void begin_shutdown();
+    void poll_shutdown(base::steady_time earliest, base::steady_time latest);
+    void acquired(head_record head, std::int64_t version);
+    void duty_lost(std::optional<member_record> successor);
+    void note_leader(std::int64_t epoch, const std::string& name,
+                     const wire::endpoint& endpoint);
+    void fetch_configuration();
+    void on_peer_message(message_type type, std::string payload,
+                         const aio::peer_responder& respond);
+    void on_beat(const std::string& payload,
+                 const aio::peer_responder& respond);
+    void on_advice(const std::string& payload,
+                   const aio::peer_responder& respond);
+    void call_leader(message_type type, std::string payload,
+                     base::steady_time deadline, bool maybe_sent,
+                     std::function<void(leader_result)> done);
+    void configuration_changed(const operator_state& state);
+    bool is_ready() const;
+
+    asio::io_context io{1};
+    base::system_clock clock;
+    base::metrics metrics;
+    settings options;
+    platform::store_client store;
+    platform::advice_client advice;
+    asio::signal_set signals;
+    asio::steady_timer startup_timer;
+    asio::steady_timer shutdown_timer;
+    member_record self_record;
+    std::shared_ptr<config_watch> config;
+    std::unique_ptr<aio::peer_hub> peers;
+    std::shared_ptr<duty_seeker> seeker;
+    std::unique_ptr<gateway> front;
+    std::unique_ptr<aio::http_listener> callers;
+    std::unique_ptr<aio::http_listener> readiness;
+    std::unique_ptr<aio::http_listener> metrics_page;
+    std::shared_ptr<cell_leader> leader;
+    leader_address known_leader;
+    std::function<std::optional<settings>()> reload;
+    bool fetching_configuration = false;
+    bool leaving = false;
+};
+
+bool entry_node::impl::start()
+{
+    config = std::make_shared<config_watch>(
+        io, store, [this](const auto& state) { configuration_changed(state); });
+    front = std::make_unique<gateway>(
+        clock, metrics, config->state(),
+        [this](message_type type, std::string payload,
+               base::steady_time deadline, auto done)
+        {
+            call_leader(type, std::move(payload), deadline, false,
+                        std::move(done));
+        });
+    callers = std::make_unique<aio::http_listener>(
+        io, options.callers, platform::deadline_header,
+        [this](auto request, auto respond)
+        { front->handle(std::move(request), std::move(respond)); });
+    readiness = std::make_unique<aio::http_listener>(
+        io, options.readiness, platform::deadline_header,
+        [this](auto request, auto respond)
+        {
+            const bool known = request.target == platform::readiness_path;
+            const int status = is_ready() ? ok : unavailable;
+            respond({known ? status : not_found, "{}", "application/json",
+                     {}});
+        });
+    metrics_page = std::make_unique<aio::http_listener>(
+        io, options.metrics, platform::deadline_header,
+        [this](auto, auto respond)
+        { respond({ok, metrics.render(), "text/plain; version=0.0.4", {}}); });
+    if (!callers->start() || !readiness->start() || !metrics_page->start())
+        return false;
+    config->start();
+    read_secret();
+    wait_for_signal();
+    log_event(log_level::info, "daemon", "started",
+              {{"name", options.name},
+               {"failure_domain", options.failure_domain},
+               {"callers", wire::to_string(options.callers)}});
+    return true;
+}
+
+bool entry_node::impl::is_ready() const
+{
+    return config->state().configuration.has_value() && peers && !leaving;
+}
+
+void entry_node::impl::read_secret()
+{
+    // All daemons authenticate with one secret; the first one creates it.
+    durable::transaction tx;
+    const durable::row_address address{cell_table, plan_partition, secret_key};
+    tx.conditions.push_back({address, 0});
+    const auto fresh = base::random_hex(secret_bytes);
+    tx.writes.push_back({address, fresh});
+    store.read(
+        cell_table, plan_partition, secret_key, 1, startup_timeout,
+        [this, tx, fresh, address](durable::store_reply found)
+        {
+            if (leaving)
+                return;
+            if (found.ok() && !found.rows.empty() &&
+                found.rows.front().address == address)
+                return start_peers(found.rows.front().value);
+            const auto again = [this]
+            {
+                startup_timer.expires_after(startup_retry);
+                startup_timer.async_wait(
+                    [this](boost::system::error_code ec)
+                    {
+                        if (!ec)
+                            read_secret();
+                    });
+            };
+            if (!found.ok())
+                return again();
+            // Whether this write or another one won shows in the next read.
+            store.commit(tx, startup_timeout,
+                         [again](durable::store_reply) { again(); });
+        });
+}
+
+void entry_node::impl::start_peers(const std::string& secret)
+{
+    peers = std::make_unique<aio::peer_hub>(
+        io, options.peers, secret,
+        [this](message_type type, std::string payload,
+               const aio::peer_responder& respond)
+        { on_peer_message(type, std::move(payload), respond); });
+    if (!peers->start())
+    {
+        log_event(log_level::error, "daemon", "peers_not_started",
+                  {{"reason", base::last_error().text()}});
+        io.stop();
+        return;
+    }
+    seeker = std::make_shared<duty_seeker>(
+        io, clock, store, self_record,
+        duty_seeker::events{
+            [this](head_record head, std::int64_t version)
+            { acquired(std::move(head), version); },
+            [this](const head_record& head)
+            {
+                const wire::endpoint where{head.address, head.port};
+                note_leader(head.epoch, head.leader, where);
+                peers->call(where, message_type::join_cell,
+                            wire::encode(self_record), join_timeout,
+                            [](const aio::peer_result&) {});
+            }});
+    seeker->start();
+    write_member_row();
+}
+
+void entry_node::impl::write_member_row()
+{
+    durable::transaction tx;
+    tx.writes.push_back({{cell_table, member_partition, options.name},
+                         wire::encode(self_record)});
+    store.commit(tx, startup_timeout,
+                 [this](const durable::store_reply& reply)
+                 {
+                     if (reply.ok() || leaving)
+                         return;
+                     startup_timer.expires_after(startup_retry);
+                     startup_timer.async_wait(
+                         [this](boost::system::error_code ec)
+                         {
+                             if (!ec)
+                                 write_member_row();
+                         });
+                 });
+}
+
+void entry_node::impl::configuration_changed(const operator_state& state)
+{
+    if (state.configuration)
+    {
+        const auto& limits = state.configuration->limits;
+        aio::listener_limits out;
+        out.max_header_bytes = std::uint32_t(limits.max_header_bytes);
+        out.max_body_bytes = std::uint64_t(limits.max_body_bytes);
+        out.header_timeout = milliseconds(limits.header_timeout_ms);
+        out.idle_timeout = milliseconds(limits.idle_timeout_ms);
+        callers->set_limits(out);
+    }
+    if (leader)
+        leader->configure(state);
+}
+
+void entry_node::impl::acquired(head_record head, std::int64_t version)
+{
+    note_leader(head.epoch, head.leader, options.peers);
+    leader = std::make_shared<cell_leader>(
+        cell_leader::environment{io, clock, options, store, *peers, advice,
+                                 metrics},
+        std::move(head), version,
+        [this](std::optional<member_record> successor)
+        { duty_lost(std::move(successor)); });
+    leader->start(config->state());
+}
+
+void entry_node::impl::duty_lost(std::optional<member_record> successor)
+{
+    const auto epoch = leader->epoch();
+    leader.reset();
+    seeker->set_paused(leaving);
+    if (successor)
+        peers->call({successor->address, successor->port},
+                    message_type::hand_over, wire::encode(hand_over{epoch}),
+                    join_timeout, [](const aio::peer_result&) {});
+}
+
+void entry_node::impl::note_leader(std::int64_t epoch, const std::string& name,
+                                   const wire::endpoint& endpoint)
+{
+    if (epoch < known_leader.epoch ||
+        (epoch == known_leader.epoch && name == known_leader.name))
+        return;
+    log_event(log_level::info, "daemon", "leader_known",
+              {{"leader", name}, {"epoch", epoch}});
+    known_leader = {epoch, name, endpoint};
+}
+
+void entry_node::impl::on_peer_message(message_type type, std::string payload,
+                                       const aio::peer_responder& respond)
+{
+    if (type == message_type::leader_beat)
+        return on_beat(payload, respond);
+    if (type == message_type::ask_advice)
+        return on_advice(payload, respond);
+    if (type == message_type::fetch_configuration)
+        return respond(config->state().configuration_text);
+    if (type == message_type::join_cell)
+    {
+        const auto record = wire::decode<member_record>(payload);
+        if (record && leader)
+            leader->member_joined(*record);
+        return respond({});
+    }
+    if (type == message_type::hand_over)
+    {
+        const auto message = wire::decode<hand_over>(payload);
+        if (message && message->epoch == known_leader.epoch && !leader &&
+            !leaving)
+            seeker->take_now();
+        return respond({});
+    }
+    const bool taken = leader && leader->handle(type, payload, respond);
+    if (!taken)
+        respond(wire::encode(job_reply{}));
+}
+
+void entry_node::impl::on_beat(const std::string& payload,
+                               const aio::peer_responder& respond)
+{
+    const auto beat = wire::decode<leader_beat>(payload);
+    if (!beat)
+        return;
+    if (beat->epoch >= known_leader.epoch)
+    {
+        note_leader(beat->epoch, beat->leader, {beat->address, beat->port});
+        if (!leader)
+            seeker->heard();
+        const auto& known = config->state().configuration;
+        if (!known || known->version < beat->configuration)
+            fetch_configuration();
+    }
+    beat_answer answer;
+    answer.epoch = known_leader.epoch;
+    answer.leaving = leaving;
+    const auto last = store.last_answer();
+    if (last != base::steady_time{})
+        answer.store_age_ms = std::chrono::duration_cast<milliseconds>(
+                                  clock.now() - last)
+                                  .count();
+    respond(wire::encode(answer));
+}
+
+void entry_node::impl::fetch_configuration()
+{
+    if (fetching_configuration || leader)
+        return;
+    fetching_configuration = true;
+    peers->call(known_leader.endpoint, message_type::fetch_configuration, {},
+                configuration_timeout,
+                [this](const aio::peer_result& result)
+                {
+                    fetching_configuration = false;
+                    if (result.answered && !result.payload.empty())
+                        config->offer(result.payload);
+                });
+}
+
+void entry_node::impl::on_advice(const std::string& payload,
+                                 const aio::peer_responder& respond)
+{
+    const auto request = wire::decode<advice_request>(payload);
+    if (!request)
+        return respond(wire::encode(advice_reply{}));
+    dispatch::advice_question question;
+    question.job = request->job;
+    question.occurrence = request->occurrence;
+    question.step = request->step;
+    question.workers = request->workers;
+    advice.ask(question, milliseconds(request->timeout_ms),
+               [respond](auto allowed)
+               {
+                   advice_reply out;
+                   out.answered = allowed.has_value();
+                   if (allowed)
+                       out.allowed = std::move(*allowed);
+                   respond(wire::encode(out));
+               });
+}
+
+void entry_node::impl::call_leader(message_type type, std::string payload,
+                                   base::steady_time deadline, bool maybe_sent,
+                                   std::function<void(leader_result)> done)
+{
+    const auto again = [this, type, payload, deadline, done](bool sent)
+    {
+        const auto next = clock.now() + leader_retry;
+        if (next >= deadline)
+            return done({std::nullopt, sent});
+        auto timer = std::make_shared<asio::steady_timer>(io, leader_retry);
+        timer->async_wait(
+            [this, timer, type, payload, deadline, sent,
+             done](boost::system::error_code)
+            { call_leader(type, payload, deadline, sent, done); });
+    };
+    const auto left = std::chrono::duration_cast<milliseconds>(deadline -
+                                                               clock.now());
+    if (left.count() <= 0)
+        return done({std::nullopt, maybe_sent});
+    if (leader)
+    {
+        // A leader that loses the duty answers no more.
+        auto timer = std::make_shared<asio::steady_timer>(
+            io, std::min(left, leader_call_timeout));
+        const auto open = std::make_shared<bool>(true);
+        const auto respond = [done, timer, open](const std::string& answer)
+        {
+            if (!std::exchange(*open, false))
+                return;
+            timer->cancel();
+            done({wire::decode<job_reply>(answer), true});
+        };
+        if (!leader->handle(type, payload, respond))
+            return again(maybe_sent);
+        if (*open)
+            timer->async_wait(
+                [timer, open, again](boost::system::error_code ec)
+                {
+                    if (!ec && std::exchange(*open, false))
+                        again(true);
+                });
+        return;
+    }
+    if (known_leader.epoch == 0 || !peers ||
+        known_leader.name == options.name)
+        return again(maybe_sent);
+    peers->call(
+        known_leader.endpoint, type, payload,
+        std::min(left, leader_call_timeout),
+        [this, maybe_sent, again, done,
+         epoch = known_leader.epoch](const aio::peer_result& result)
+        {
+            std::optional<job_reply> reply;
+            if (result.answered)
+                reply = wire::decode<job_reply>(result.payload);
+            if (reply && reply->status != reply_status::not_leader)
+                return done({reply, true});
+            if (result.refused && epoch == known_leader.epoch && !leader)
+                seeker->leader_gone();
+            again(maybe_sent || !(reply || result.refused));
+        });
+}
+
+void entry_node::impl::wait_for_signal()
+{
+    signals.async_wait(
+        [this](boost::system::error_code ec, int number)
+        {
+            if (ec)
+                return;
+            if (number != SIGHUP)
+                return begin_shutdown();
+            const auto next = reload();
+            log_event(next ? log_level::info : log_level::error, "daemon",
+                      "reloaded", {{"valid", int(next.has_value())}});
+            if (next)
+                base::set_up_log(next->name, next->log_level);
+            wait_for_signal();
+        });
+}
+
+void entry_node::impl::begin_shutdown()
+{
+    log_event(log_level::info, "daemon", "stopping",
+              {{"open_requests", callers->open_requests()}});
+    leaving = true;
+    callers->begin_drain();
+    if (seeker && !leader)
+        seeker->set_paused(true);
+    if (leader)
+        leader->release();
+    const auto now = clock.now();
+    const auto latest = now + options.limits.grace - shutdown_reserve;
+    poll_shutdown(std::min(now + balancer_delay, latest), latest);
+}
+
+void entry_node::impl::poll_shutdown(base::steady_time earliest,
+                                     base::steady_time latest)
+{
+    const auto now = clock.now();
+    if (now >= earliest)
+        callers->close_idle();
+    const bool idle = callers->open_requests() == 0 && !leader;
+    if ((now >= earliest && idle) || now >= latest)
+    {
+        log_event(log_level::info, "daemon", "stopped",
+                  {{"open_requests", callers->open_requests()}});
+        if (leader)
+            leader->stop();
+        return io.stop();
+    }
+    shutdown_timer.expires_after(shutdown_poll);
+    shutdown_timer.async_wait(
+        [this, earliest, latest](boost::system::error_code ec)
+        {
+            if (!ec)
+                poll_shutdown(earliest, latest);
+        });
+}
+
+entry_node::entry_node(settings options)
+    : impl_(std::make_shared<impl>(std::move(options)))
+{
+}
+
+entry_node::~entry_node() = default;
+
+bool entry_node::run(const std::function<std::optional<settings>()>& reload)
+{
+    impl_->reload = reload;
+    if (!impl_->start())
+    {
+        log_event(log_level::error, "daemon", "start_failed",
+                  {{"reason", base::last_error().text()}});
+        return false;
+    }
+    impl_->io.run();
+    return true;
+}
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/src/mustardwick/entry/gateway.cpp
@@ -0,0 +1,211 @@
+#include "mustardwick/entry/gateway.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+#include "mustardwick/base/error.hpp"
+#include "mustardwick/base/log.hpp"
+#include "mustardwick/wire/codec.hpp"
+#include "platform/decode.hpp"
+
+namespace mustardwick::entry
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+using std::chrono::milliseconds;
+using wire::message_type;
+
+constexpr int ok = 200;
+constexpr int bad_request = 400;
+constexpr int unauthorized = 401;
+constexpr int not_found = 404;
+constexpr int gone = 410;
+constexpr int unavailable = 503;
+constexpr int gateway_timeout = 504;
+
+constexpr std::size_t job_id_digits = 16;
+/// Time that an answer needs on its way back to the caller.
+constexpr milliseconds answer_margin{150};
+/// Callers without a deadline wait this long.
+constexpr milliseconds default_deadline{3000};
+/// A leader is usually replaced within this time.
+constexpr milliseconds failover_time{2000};
+
+aio::outgoing_response plain(int status, std::string body = "{}")
+{
+    return {status, std::move(body), "application/json", {}};
+}
+
+aio::outgoing_response come_back(milliseconds after)
+{
+    return {unavailable, "{}", "application/json", after};
+}
+
+bool is_job_id(std::string_view text)
+{
+    return text.size() == job_id_digits &&
+           std::all_of(text.begin(), text.end(),
+                       [](unsigned char c) { return std::isxdigit(c) != 0; });
+}
+
+std::string_view without_port(std::string_view host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+} // namespace
+
+struct gateway::call_context
+{
+    std::string id;
+    std::string queue;
+    std::string account;
+    base::steady_time deadline;
+    aio::responder respond;
+};
+
+gateway::gateway(const base::clock& time, base::metrics& metrics,
+                 const operator_state& state, leader_call call)
+    : clock_(time), metrics_(metrics), state_(state), call_(std::move(call))
+{
+}
+
+std::optional<std::string>
+gateway::account_of(const aio::incoming_request& request,
+                    const jobs::queue& queue) const
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view header = request.authorization;
+    const auto& accounts = state_.configuration->account_of_key;
+    if (header.starts_with(scheme))
+    {
+        const auto it = accounts.find(header.substr(scheme.size()));
+        if (it != accounts.end())
+            return it->second;
+    }
+    if (queue.is_public)
+        return std::string();
+    return std::nullopt;
+}
+
+void gateway::handle(aio::incoming_request request, aio::responder respond)
+{
+    metrics_.add("mustardwick_requests_total");
+    const auto began = request.received;
+    const auto reply = [this, began, respond = std::move(respond)](
+                           aio::outgoing_response response)
+    {
+        const std::chrono::duration<double> took = clock_.now() - began;
+        metrics_.observe("mustardwick_request_seconds", took.count());
+        metrics_.add("mustardwick_responses_" +
+                     std::to_string(response.status) + "_total");
+        respond(std::move(response));
+    };
+    if (!state_.configuration)
+        return reply(come_back(milliseconds(1000)));
+    const auto path =
+        std::string_view(request.target).substr(0, request.target.find('?'));
+    const auto* queue = state_.configuration->find_queue(
+        without_port(request.host), path);
+    if (queue == nullptr)
+        return reply(plain(not_found));
+    const auto account = account_of(request, *queue);
+    if (!account)
+        return reply(plain(unauthorized));
+    call_context context;
+    context.id = path.substr(queue->path_prefix.size());
+    context.queue = queue->name;
+    context.account = *account;
+    context.deadline =
+        began + request.deadline.value_or(default_deadline) - answer_margin;
+    context.respond = reply;
+    if (context.id.empty() && request.method == "GET")
+        return count(context);
+    if (!is_job_id(context.id))
+        return reply(plain(not_found));
+    if (request.method == "POST")
+        return submit(context, request.body);
+    if (request.method == "GET")
+        return query(context);
+    if (request.method == "DELETE")
+        return cancel(context);
+    reply(plain(not_found));
+}
+
+void gateway::submit(const call_context& context, const std::string& body)
+{
+    auto job = platform::decode_job(body);
+    if (!job)
+    {
+        log_event(log_level::warning, "gateway", "job_refused",
+                  {{"job", context.id},
+                   {"reason", base::last_error().text()}});
+        return context.respond(plain(bad_request));
+    }
+    job->id = context.id;
+    job->queue = context.queue;
+    job->account = context.account;
+    job->arrived_ms = std::chrono::duration_cast<milliseconds>(
+                          clock_.wall().time_since_epoch())
+                          .count();
+    call_(message_type::submit_job, wire::encode(*job), context.deadline,
+          [context](leader_result result)
+          {
+              if (result.reply)
+                  return context.respond(plain(ok));
+              log_event(log_level::warning, "gateway", "job_not_accepted",
+                        {{"job", context.id},
+                         {"maybe_sent", int(result.maybe_sent)}});
+              // "Not run" would be untrue when a leader may have stored it.
+              context.respond(result.maybe_sent ? plain(gateway_timeout)
+                                                : come_back(failover_time));
+          });
+}
+
+void gateway::query(const call_context& context)
+{
+    call_(message_type::query_job, wire::encode(job_query{context.id}),
+          context.deadline,
+          [context](leader_result result)
+          {
+              if (!result.reply)
+                  return context.respond(come_back(failover_time));
+              if (result.reply->status == reply_status::unknown_job)
+                  return context.respond(plain(gone));
+              context.respond(
+                  plain(ok, platform::encode_job_state(result.reply->state)));
+          });
+}
+
+void gateway::cancel(const call_context& context)
+{
+    call_(message_type::cancel_job, wire::encode(job_query{context.id}),
+          context.deadline,
+          [context](leader_result result)
+          {
+              if (!result.reply)
+                  return context.respond(come_back(failover_time));
+              const bool known =
+                  result.reply->status != reply_status::unknown_job;
+              context.respond(plain(known ? ok : gone));
+          });
+}
+
+void gateway::count(const call_context& context)
+{
+    call_(message_type::count_waiting, wire::encode(queue_query{context.queue}),
+          context.deadline,
+          [context](leader_result result)
+          {
+              if (!result.reply)
+                  return context.respond(come_back(failover_time));
+              context.respond(plain(
+                  ok, platform::encode_waiting_count(result.reply->waiting)));
+          });
+}
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/src/mustardwick/entry/state_log.cpp
@@ -0,0 +1,137 @@
+#include "mustardwick/entry/state_log.hpp"
+
+#include <algorithm>
+
+#include "mustardwick/base/identity.hpp"
+#include "mustardwick/base/log.hpp"
+#include "mustardwick/entry/cell_leader.hpp"
+#include "mustardwick/wire/codec.hpp"
+
+namespace mustardwick::entry
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// A transaction takes 6 ms and up to 70 times as long while the store is
+/// slow.
+constexpr milliseconds commit_timeout{1000};
+constexpr milliseconds refused_pause{60};
+constexpr milliseconds unknown_pause{5};
+
+durable::row_address head_address()
+{
+    return {cell_table, plan_partition, head_key};
+}
+
+} // namespace
+
+state_log::state_log(boost::asio::io_context& io, const base::clock& time,
+                     platform::store_client& store, base::metrics& metrics,
+                     head_record head, std::int64_t head_version)
+    : timer_(io), clock_(time), store_(store), metrics_(metrics),
+      head_(std::move(head)), version_(head_version), confirmed_(time.now())
+{
+}
+
+void state_log::set_released()
+{
+    head_.released = true;
+}
+
+void state_log::stop()
+{
+    stopped_ = true;
+    timer_.cancel();
+}
+
+void state_log::commit(std::vector<durable::row_write> writes,
+                       std::vector<durable::row_address> removals,
+                       done_handler done)
+{
+    busy_ = true;
+    done_ = std::move(done);
+    began_ = clock_.now();
+    head_.transaction = base::unique_id();
+    current_ = {};
+    current_.conditions.push_back({head_address(), version_});
+    current_.writes = std::move(writes);
+    current_.writes.push_back({head_address(), wire::encode(head_)});
+    current_.removals = std::move(removals);
+    send();
+}
+
+void state_log::send()
+{
+    if (stopped_)
+        return;
+    const auto sent = clock_.now();
+    store_.commit(current_, commit_timeout,
+                  [self = shared_from_this(),
+                   sent](durable::store_reply reply)
+                  {
+                      if (!self->stopped_)
+                          self->answered(std::move(reply), sent);
+                  });
+}
+
+void state_log::answered(durable::store_reply reply, base::steady_time sent)
+{
+    using durable::store_end;
+    if (reply.end == store_end::done)
+    {
+        version_ = reply.version;
+        confirmed_ = sent;
+        return finish(log_result::durable);
+    }
+    if (reply.end == store_end::conflict)
+    {
+        const auto it = std::find_if(reply.rows.begin(), reply.rows.end(),
+                                     [](const auto& row)
+                                     { return row.address == head_address(); });
+        std::optional<head_record> found;
+        if (it != reply.rows.end())
+            found = wire::decode<head_record>(it->value);
+        if (!found || found->transaction != head_.transaction)
+            return finish(log_result::superseded);
+        // An earlier copy of this transaction took effect.
+        version_ = it->version;
+        confirmed_ = sent;
+        return finish(log_result::durable);
+    }
+    if (!failing_since_)
+    {
+        failing_since_ = sent;
+        base::log_event(base::log_level::warning, "state_log", "store_failing",
+                        {{"reason", reply.reason}});
+    }
+    resend_after(reply.end == store_end::refused ? refused_pause
+                                                 : unknown_pause);
+}
+
+void state_log::resend_after(milliseconds pause)
+{
+    timer_.expires_after(pause);
+    timer_.async_wait(
+        [self = shared_from_this()](boost::system::error_code ec)
+        {
+            if (!ec)
+                self->send();
+        });
+}
+
+void state_log::finish(log_result result)
+{
+    if (failing_since_)
+        base::log_event(base::log_level::info, "state_log", "store_answers");
+    failing_since_.reset();
+    busy_ = false;
+    const std::chrono::duration<double> took = clock_.now() - began_;
+    metrics_.observe("mustardwick_commit_seconds", took.count());
+    const auto done = std::move(done_);
+    done(result);
+}
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/src/mustardwick/entry/worker_links.cpp
@@ -0,0 +1,195 @@
+#include "mustardwick/entry/worker_links.hpp"
+
+#include "mustardwick/base/log.hpp"
+
+namespace mustardwick::entry
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// A worker answers a renewal after this time at the latest; a third of the
+/// longest lease, so that one lost renewal does not end it.
+constexpr milliseconds renewal_wait{1900};
+/// Pause between two renewals; ends that come close together share one.
+constexpr milliseconds renewal_pause{20};
+constexpr milliseconds first_retry{250};
+constexpr int max_retry_doublings = 2;
+/// Pause while this daemon may not act as leader.
+constexpr milliseconds no_authority_pause{100};
+
+} // namespace
+
+worker_links::worker_links(boost::asio::io_context& io,
+                           const base::clock& time, base::metrics& metrics,
+                           dispatch::planner& planner,
+                           std::int64_t fencing_token, events on)
+    : io_(io), clock_(time), metrics_(metrics), planner_(planner),
+      fencing_token_(fencing_token), on_(std::move(on))
+{
+}
+
+void worker_links::stop()
+{
+    stopped_ = true;
+    for (auto& [id, it] : links_)
+        it.timer->cancel();
+    links_.clear();
+}
+
+void worker_links::listed(const jobs::worker_info& info)
+{
+    if (stopped_)
+        return;
+    auto& it = links_[info.id];
+    const bool moved = !it.client || it.info.address != info.address;
+    it.info = info;
+    const bool idle = !it.listed;
+    it.listed = true;
+    if (moved)
+    {
+        ++it.generation;
+        it.client = std::make_unique<platform::worker_client>(io_, info.id,
+                                                              info.address);
+        it.timer = std::make_unique<boost::asio::steady_timer>(io_);
+        it.failures = 0;
+    }
+    if (moved || idle)
+        renew(info.id);
+}
+
+void worker_links::unlisted(const std::string& id)
+{
+    const auto it = links_.find(id);
+    if (it != links_.end())
+        it->second.listed = false;
+}
+
+void worker_links::renew_after(link& it, milliseconds pause)
+{
+    it.timer->expires_after(pause);
+    it.timer->async_wait(
+        [self = shared_from_this(), id = it.info.id,
+         generation = it.generation](boost::system::error_code ec)
+        {
+            const auto found = self->links_.find(id);
+            if (!ec && found != self->links_.end() &&
+                found->second.generation == generation)
+                self->renew(id);
+        });
+}
+
+void worker_links::renew(const std::string& id)
+{
+    if (stopped_)
+        return;
+    auto& it = links_.at(id);
+    if (!on_.has_authority())
+        return renew_after(it, no_authority_pause);
+    ++it.generation;
+    platform::lease_renewal renewal;
+    renewal.fencing_token = fencing_token_;
+    renewal.acknowledged_end = planner_.acknowledged_end(id);
+    renewal.deadline_ms = planner_.lease_deadline(id);
+    // The first answer is needed at once, for the worker's clock.
+    const auto host = planner_.hosts().find(id);
+    const bool adopted =
+        host != planner_.hosts().end() && host->second.adopted;
+    if (adopted && renewal.deadline_ms)
+        renewal.wait = renewal_wait;
+    metrics_.add("mustardwick_renewals_total");
+    it.client->renew(renewal,
+                     [self = shared_from_this(), id,
+                      generation = it.generation](platform::renewal_reply reply)
+                     { self->renewed(id, generation, std::move(reply)); });
+}
+
+void worker_links::renewed(const std::string& id, std::uint64_t generation,
+                           platform::renewal_reply reply)
+{
+    const auto found = links_.find(id);
+    if (stopped_ || found == links_.end() ||
+        found->second.generation != generation)
+        return;
+    auto& it = found->second;
+    if (reply.fenced)
+        return on_.fenced();
+    if (reply.report)
+    {
+        it.failures = 0;
+        const auto host = planner_.hosts().find(id);
+        const bool first =
+            host == planner_.hosts().end() || !host->second.adopted;
+        planner_.worker_reported(id, *reply.report);
+        on_.changed();
+        // A lease that is new here is renewed without a pause.
+        return renew_after(it, first ? milliseconds(0) : renewal_pause);
+    }
+    planner_.worker_silent(id);
+    on_.changed();
+    const int doublings = std::min(it.failures++, max_retry_doublings);
+    if (!it.listed && it.failures > max_retry_doublings)
+    {
+        base::log_event(base::log_level::info, "workers", "worker_dropped",
+                        {{"worker", id}});
+        it.timer->cancel();
+        links_.erase(found);
+        return;
+    }
+    renew_after(it, first_retry * (1 << doublings));
+}
+
+void worker_links::deliver(dispatch::orders orders)
+{
+    for (auto& it : orders.stops)
+        stop_run(std::move(it));
+    for (auto& it : orders.starts)
+        start(std::move(it));
+}
+
+void worker_links::start(dispatch::start_order order)
+{
+    const auto found = links_.find(order.worker);
+    if (found == links_.end() || !on_.has_authority())
+    {
+        planner_.start_answered(order, {jobs::order_result::not_sent, 0});
+        return on_.changed();
+    }
+    const auto sent = clock_.now();
+    auto& client = *found->second.client;
+    client.start(order, fencing_token_,
+                 [self = shared_from_this(), order,
+                  sent](jobs::order_reply reply)
+                 {
+                     if (self->stopped_)
+                         return;
+                     const std::chrono::duration<double> took =
+                         self->clock_.now() - sent;
+                     self->metrics_.observe("mustardwick_start_seconds",
+                                            took.count());
+                     self->planner_.start_answered(order, reply);
+                     self->on_.changed();
+                     if (reply.result == jobs::order_result::fenced)
+                         self->on_.fenced();
+                 });
+}
+
+void worker_links::stop_run(dispatch::stop_order order)
+{
+    const auto found = links_.find(order.worker);
+    if (found == links_.end() || !on_.has_authority())
+        return;
+    auto& client = *found->second.client;
+    client.stop(order, fencing_token_,
+                [self = shared_from_this(), order](jobs::order_reply reply)
+                {
+                    if (self->stopped_)
+                        return;
+                    self->planner_.stop_answered(order, reply);
+                    self->on_.changed();
+                });
+}
+
+} // namespace mustardwick::entry
--- a/src/mustardwick/operators/operator_api_test.cpp
+++ b/src/mustardwick/operators/operator_api_test.cpp
@@ -29,12 +29,12 @@
         action_ = std::move(action);
     }
 
-    std::optional<platform::row> read(std::string_view key)
+    std::optional<ports::row> read(std::string_view key)
     {
         return table_.read(key);
     }
 
-    std::optional<platform::row_page> scan(std::string_view prefix,
+    std::optional<ports::row_page> scan(std::string_view prefix,
                                            std::string_view after)
     {
         if (prefix == prefix_ && action_)
@@ -42,7 +42,7 @@
         return table_.scan(prefix, after);
     }
 
-    platform::commit_result commit(const platform::transaction& change)
+    ports::commit_result commit(const ports::transaction& change)
     {
         return table_.commit(change);
     }
@@ -66,7 +66,7 @@
     interrupted_table table;
     base::manual_clock clock;
     coordination::promise_book promises{clock};
-    coordination::config_store config{platform::table(table), clock,
+    coordination::config_store config{ports::table(table), clock,
                                       std::chrono::milliseconds{3000},
                                       promises};
     base::time_line events{clock, "entry-1"};
--- a/src/mustardwick/platform/http_table.cpp
+++ b/src/mustardwick/ports/http_table.cpp
@@ -1,4 +1,4 @@
-#include "mustardwick/platform/http_table.hpp"
+#include "mustardwick/ports/http_table.hpp"
 
 #include <atomic>
 #include <mutex>
@@ -10,7 +10,7 @@
 #include "mustardwick/base/error.hpp"
 #include "mustardwick/base/json.hpp"
 
-namespace mustardwick::platform
+namespace mustardwick::ports
 {
 
 namespace json = web::json;
@@ -264,4 +264,4 @@
     }
 }
 
-} // namespace mustardwick::platform
+} // namespace mustardwick::ports
--- a/src/mustardwick/platform/table.cpp
+++ b/src/mustardwick/ports/table.cpp
@@ -1,8 +1,8 @@
-#include "mustardwick/platform/table.hpp"
+#include "mustardwick/ports/table.hpp"
 
 #include <utility>
 
-namespace mustardwick::platform
+namespace mustardwick::ports
 {
 
 std::optional<std::vector<row>> table::scan_all(std::string_view prefix) const
@@ -45,4 +45,4 @@
     return {};
 }
 
-} // namespace mustardwick::platform
+} // namespace mustardwick::ports
--- a/src/mustardwick/platform/worker.cpp
+++ b/src/mustardwick/ports/worker.cpp
@@ -1,4 +1,4 @@
-#include "mustardwick/platform/worker.hpp"
+#include "mustardwick/ports/worker.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -9,7 +9,7 @@
 #include "mustardwick/base/json.hpp"
 #include "mustardwick/http/client.hpp"
 
-namespace mustardwick::platform
+namespace mustardwick::ports
 {
 
 namespace json = web::json;
@@ -394,4 +394,4 @@
     return impl_->orders.bytes_moved();
 }
 
-} // namespace mustardwick::platform
+} // namespace mustardwick::ports
--- a/src/mustardwick/wire/frame.cpp
+++ b/src/mustardwick/wire/frame.cpp
@@ -19,7 +19,7 @@
 
 constexpr int bits_per_byte = 8;
 constexpr std::uint8_t highest_type =
-    static_cast<std::uint8_t>(message_type::members_changed);
+    static_cast<std::uint8_t>(message_type::fetch_configuration);
 
 std::string tag_of(std::string_view bytes, std::string_view secret)
 {
--- a/testing/model/config_store_test.cpp
+++ b/testing/model/config_store_test.cpp
@@ -33,7 +33,7 @@
     const auto row = cell.access(1).read(key).value();
     const auto fenced = cell.access(1).commit(
         {"fence", {{key, row.version}}, {{key, to_row(record)}}, {}});
-    cr_assert(fenced.state == platform::commit_state::committed);
+    cr_assert(fenced.state == ports::commit_state::committed);
     cr_expect_not(change(daemon).has_value());
     daemon.registry.renew();
     cr_expect(change(daemon).has_value());
--- a/testing/model/defects.cpp
+++ b/testing/model/defects.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-bool writes_below(const platform::transaction& change, std::string_view prefix)
+bool writes_below(const ports::transaction& change, std::string_view prefix)
 {
     for (const auto& it : change.puts)
     {
@@ -20,7 +20,7 @@
 
 } // namespace
 
-platform::transaction without_checks(platform::transaction change, defect kind)
+ports::transaction without_checks(ports::transaction change, defect kind)
 {
     if (kind == defect::planner_without_guard &&
         writes_below(change, "planner/last/"))
@@ -28,7 +28,7 @@
     return change;
 }
 
-bool skips_commit(const platform::transaction& change, defect kind)
+bool skips_commit(const ports::transaction& change, defect kind)
 {
     return (kind == defect::no_claims && writes_below(change, "claim/")) ||
            (kind == defect::parts_without_commit &&
--- a/testing/model/defects.hpp
+++ b/testing/model/defects.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "mustardwick/platform/table.hpp"
+#include "mustardwick/ports/table.hpp"
 #include "mustardwick/wire/messages.hpp"
 
 namespace mustardwick::testing
@@ -25,10 +25,10 @@
 };
 
 /// @brief Removes the checks that a defect leaves out.
-platform::transaction without_checks(platform::transaction change, defect kind);
+ports::transaction without_checks(ports::transaction change, defect kind);
 
 /// @brief True when the defect takes the commit for done without a write.
-bool skips_commit(const platform::transaction& change, defect kind);
+bool skips_commit(const ports::transaction& change, defect kind);
 
 /// @brief Changes reports of workers as the defect has it.
 wire::task_events changed_reports(wire::task_events events, defect kind);
--- a/testing/model/model_daemon.cpp
+++ b/testing/model/model_daemon.cpp
@@ -50,7 +50,7 @@
               leases.acknowledge(it);
           }),
       leases(
-          {table_, platform::workers(worker_calls_), registry, view, config,
+          {table_, ports::workers(worker_calls_), registry, view, config,
            promises, cell.clock_of(number), events_,
            [this](std::function<void()> call)
            {
@@ -66,10 +66,10 @@
           {
               owner.adopt(host, attempts);
           }),
-      owner({leases, platform::workers(worker_calls_), config, escrow, claims,
+      owner({leases, ports::workers(worker_calls_), config, escrow, claims,
              cell.clock_of(number), events_, metrics_, name},
             cell.timing().max_request_time),
-      orders(leases, platform::workers(worker_calls_), config, events_),
+      orders(leases, ports::workers(worker_calls_), config, events_),
       planner({table_, duty, config, cell.clock_of(number), events_, metrics_,
                [this](const wire::deliver& it)
                {
--- a/testing/model/model_daemon.hpp
+++ b/testing/model/model_daemon.hpp
@@ -67,7 +67,7 @@
 
     model_cell& cell_;
     model_table service_;
-    platform::table table_;
+    ports::table table_;
     model_workers worker_calls_;
     base::metrics metrics_;
     base::time_line events_;
--- a/testing/model/model_table.hpp
+++ b/testing/model/model_table.hpp
@@ -14,21 +14,21 @@
     {
     }
 
-    std::optional<platform::row> read(std::string_view key)
+    std::optional<ports::row> read(std::string_view key)
     {
         return table_.read(key);
     }
 
-    std::optional<platform::row_page> scan(std::string_view prefix,
+    std::optional<ports::row_page> scan(std::string_view prefix,
                                            std::string_view after)
     {
         return table_.scan(prefix, after);
     }
 
-    platform::commit_result commit(const platform::transaction& change)
+    ports::commit_result commit(const ports::transaction& change)
     {
         if (skips_commit(change, defect_))
-            return {platform::commit_state::committed, 1, {}};
+            return {ports::commit_state::committed, 1, {}};
         return table_.commit(without_checks(change, defect_));
     }
 
--- a/testing/model/model_workers.cpp
+++ b/testing/model/model_workers.cpp
@@ -37,8 +37,8 @@
            !cell_.take_lost_worker_answer(daemon_);
 }
 
-std::optional<platform::lease_state>
-model_workers::open(const platform::worker_address& worker,
+std::optional<ports::lease_state>
+model_workers::open(const ports::worker_address& worker,
                     const std::string& holder, std::chrono::milliseconds ttl)
 {
     if (!reaches(worker.name))
@@ -50,8 +50,8 @@
     return out;
 }
 
-std::optional<platform::lease_state>
-model_workers::renew(const platform::worker_address& worker,
+std::optional<ports::lease_state>
+model_workers::renew(const ports::worker_address& worker,
                      const std::string& lease, std::chrono::milliseconds ttl,
                      const std::vector<std::string>& ended)
 {
@@ -65,10 +65,10 @@
     return out;
 }
 
-std::optional<platform::task_orders_result>
-model_workers::order(const platform::worker_address& worker,
+std::optional<ports::task_orders_result>
+model_workers::order(const ports::worker_address& worker,
                      const std::string& lease,
-                     const platform::task_orders& orders)
+                     const ports::task_orders& orders)
 {
     if (!reaches(worker.name))
         return no_answer();
@@ -84,8 +84,8 @@
 }
 
 wire::forward_answer
-model_workers::request(const platform::worker_address& worker,
-                       const platform::target_request& call)
+model_workers::request(const ports::worker_address& worker,
+                       const ports::target_request& call)
 {
     if (!reaches(worker.name))
         return coordination::unknown_answer("the worker does not answer");
@@ -106,8 +106,8 @@
     return {wire::outcome::done, 200, call.body, {}, {}};
 }
 
-std::optional<platform::attempt_answer>
-model_workers::attempt(const platform::worker_address& worker,
+std::optional<ports::attempt_answer>
+model_workers::attempt(const ports::worker_address& worker,
                        const std::string& lease, const std::string& attempt)
 {
     if (!reaches(worker.name) || !answers(worker.name))
--- a/testing/model/model_workers.hpp
+++ b/testing/model/model_workers.hpp
@@ -3,7 +3,7 @@
 #include <optional>
 #include <string>
 
-#include "mustardwick/platform/worker.hpp"
+#include "mustardwick/ports/worker.hpp"
 
 namespace mustardwick::testing
 {
@@ -19,19 +19,19 @@
     {
     }
 
-    std::optional<platform::lease_state>
-    open(const platform::worker_address& worker, const std::string& holder,
+    std::optional<ports::lease_state>
+    open(const ports::worker_address& worker, const std::string& holder,
          std::chrono::milliseconds ttl);
-    std::optional<platform::lease_state>
-    renew(const platform::worker_address& worker, const std::string& lease,
+    std::optional<ports::lease_state>
+    renew(const ports::worker_address& worker, const std::string& lease,
           std::chrono::milliseconds ttl, const std::vector<std::string>& ended);
-    std::optional<platform::task_orders_result>
-    order(const platform::worker_address& worker, const std::string& lease,
-          const platform::task_orders& orders);
-    wire::forward_answer request(const platform::worker_address& worker,
-                                 const platform::target_request& call);
-    std::optional<platform::attempt_answer>
-    attempt(const platform::worker_address& worker, const std::string& lease,
+    std::optional<ports::task_orders_result>
+    order(const ports::worker_address& worker, const std::string& lease,
+          const ports::task_orders& orders);
+    wire::forward_answer request(const ports::worker_address& worker,
+                                 const ports::target_request& call);
+    std::optional<ports::attempt_answer>
+    attempt(const ports::worker_address& worker, const std::string& lease,
             const std::string& attempt);
 
 private:
--- a/testing/model/planner_test.cpp
+++ b/testing/model/planner_test.cpp
@@ -47,7 +47,7 @@
     }
 
     fake_table access;
-    platform::table table;
+    ports::table table;
     base::metrics metrics;
     coordination::member_registry registry;
     coordination::cluster_view view;
@@ -137,7 +137,7 @@
     first.refresh();
     first.planner.step();
     const auto now = table.read(coordination::task_key({"t0-j0", 0}));
-    const auto attempt = [](const platform::row& row)
+    const auto attempt = [](const ports::row& row)
     {
         return coordination::parse_task(row.value).value().attempt;
     };
--- a/testing/standin/fake_table.cpp
+++ b/testing/standin/fake_table.cpp
@@ -18,14 +18,14 @@
 
 } // namespace
 
-std::optional<platform::row> fake_table::read(std::string_view key)
+std::optional<ports::row> fake_table::read(std::string_view key)
 {
     if (down_)
         return fail_unreachable();
     return state_.read(key);
 }
 
-std::optional<platform::row_page> fake_table::scan(std::string_view prefix,
+std::optional<ports::row_page> fake_table::scan(std::string_view prefix,
                                                    std::string_view after)
 {
     if (down_)
@@ -33,7 +33,7 @@
     return state_.scan(prefix, after);
 }
 
-platform::commit_result fake_table::commit(const platform::transaction& change)
+ports::commit_result fake_table::commit(const ports::transaction& change)
 {
     if (down_ || read_only_)
     {
--- a/testing/standin/fake_table.hpp
+++ b/testing/standin/fake_table.hpp
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string_view>
 
-#include "mustardwick/platform/table.hpp"
+#include "mustardwick/ports/table.hpp"
 #include "testing/standin/table_state.hpp"
 
 namespace mustardwick::testing
@@ -37,10 +37,10 @@
         lose_answers_ = n;
     }
 
-    std::optional<platform::row> read(std::string_view key);
-    std::optional<platform::row_page> scan(std::string_view prefix,
+    std::optional<ports::row> read(std::string_view key);
+    std::optional<ports::row_page> scan(std::string_view prefix,
                                            std::string_view after);
-    platform::commit_result commit(const platform::transaction& change);
+    ports::commit_result commit(const ports::transaction& change);
 
 private:
     table_state& state_;
@@ -49,6 +49,6 @@
     std::atomic<int> lose_answers_{0};
 };
 
-static_assert(platform::table_service<fake_table&>);
+static_assert(ports::table_service<fake_table&>);
 
 } // namespace mustardwick::testing
--- a/testing/standin/platform_service.cpp
+++ b/testing/standin/platform_service.cpp
@@ -110,14 +110,14 @@
     const auto result = table_.commit(*change);
     if (take_one(faults.lose_answers))
         return lost_answer();
-    const bool committed = result.state == platform::commit_state::committed;
+    const bool committed = result.state == ports::commit_state::committed;
     json_object body;
     body.flag("committed", committed);
     if (committed)
         body.number("revision", static_cast<std::int64_t>(result.revision));
     else
         body.set("conflicts", json_array(result.conflicts,
-                                         [](const platform::check& it)
+                                         [](const ports::check& it)
                                          {
                                              return to_json(it);
                                          }));
@@ -126,7 +126,7 @@
 
 http::response platform_service::rows(const http::request& call)
 {
-    platform::row_page page;
+    ports::row_page page;
     if (call.query.contains("key"))
     {
         auto row = table_.read(call.parameter("key"));
@@ -140,7 +140,7 @@
     }
     json_object body;
     body.set("rows", json_array(page.rows,
-                                [](const platform::row& it)
+                                [](const ports::row& it)
                                 {
                                     return to_json(it);
                                 }));
--- a/testing/standin/standin_test.cpp
+++ b/testing/standin/standin_test.cpp
@@ -8,13 +8,13 @@
 
 using namespace mustardwick;
 using namespace mustardwick::testing;
-using platform::commit_state;
+using ports::commit_state;
 using std::chrono::milliseconds;
 
 namespace
 {
 
-platform::transaction write_once(const std::string& id, const std::string& key)
+ports::transaction write_once(const std::string& id, const std::string& key)
 {
     return {id, {{key, 0}}, {{key, "value"}}, {}};
 }
@@ -53,7 +53,7 @@
     const auto repeated = table.commit(write_once("t1", "a"));
     cr_assert(repeated.state == commit_state::conflict);
     cr_assert_eq(repeated.conflicts.front().version, 1);
-    const platform::transaction mixed{
+    const ports::transaction mixed{
         "t2", {{"a", 1}, {"b", 7}}, {{"b", "x"}}, {"a"}};
     cr_assert(table.commit(mixed).state == commit_state::conflict);
     cr_assert_eq(table.read("a").writer, "t1");
@@ -67,7 +67,7 @@
     for (const char* key : {"a/1", "b/1", "b/2", "b/3", "c/1"})
         table.commit(write_once(key, key));
     std::string keys;
-    platform::row_page page;
+    ports::row_page page;
     do
     {
         page = table.scan("b/", page.next, 2);
--- a/testing/standin/table_codec.cpp
+++ b/testing/standin/table_codec.cpp
@@ -33,7 +33,7 @@
 
 } // namespace
 
-std::optional<platform::transaction>
+std::optional<ports::transaction>
 parse_transaction(std::string_view body, std::vector<std::string>& errors)
 {
     const auto value = base::parse_json(body, max_transaction_bytes);
@@ -42,7 +42,7 @@
         errors.push_back(base::last_error().text());
         return std::nullopt;
     }
-    platform::transaction out;
+    ports::transaction out;
     base::object_reader reader(*value, "", errors);
     out.id = reader.required_text("id");
     for_each_object(
@@ -67,7 +67,7 @@
     return out;
 }
 
-web::json::value to_json(const platform::row& value)
+web::json::value to_json(const ports::row& value)
 {
     return json_object()
         .text("key", value.key)
@@ -77,7 +77,7 @@
         .value();
 }
 
-web::json::value to_json(const platform::check& value)
+web::json::value to_json(const ports::check& value)
 {
     return json_object()
         .text("key", value.key)
--- a/testing/standin/table_codec.hpp
+++ b/testing/standin/table_codec.hpp
@@ -7,16 +7,16 @@
 
 #include <cpprest/json.h>
 
-#include "mustardwick/platform/table.hpp"
+#include "mustardwick/ports/table.hpp"
 
 namespace mustardwick::testing
 {
 
 /// @brief Reads a transaction from the body of a commit call.
-std::optional<platform::transaction>
+std::optional<ports::transaction>
 parse_transaction(std::string_view body, std::vector<std::string>& errors);
 
-web::json::value to_json(const platform::row& value);
-web::json::value to_json(const platform::check& value);
+web::json::value to_json(const ports::row& value);
+web::json::value to_json(const ports::check& value);
 
 } // namespace mustardwick::testing
--- a/testing/standin/table_state.cpp
+++ b/testing/standin/table_state.cpp
@@ -5,7 +5,7 @@
 namespace mustardwick::testing
 {
 
-using platform::commit_state;
+using ports::commit_state;
 
 std::uint64_t table_state::version_of(const std::string& key) const
 {
@@ -13,7 +13,7 @@
     return it == rows_.end() ? 0 : it->second.version;
 }
 
-void table_state::apply(const platform::transaction& change)
+void table_state::apply(const ports::transaction& change)
 {
     ++revision_;
     for (const auto& it : change.puts)
@@ -22,10 +22,10 @@
         rows_.erase(it);
 }
 
-platform::commit_result table_state::commit(const platform::transaction& change)
+ports::commit_result table_state::commit(const ports::transaction& change)
 {
     const std::scoped_lock lock(mutex_);
-    platform::commit_result out;
+    ports::commit_result out;
     for (const auto& it : change.checks)
     {
         const auto current = version_of(it.key);
@@ -45,24 +45,24 @@
     return out;
 }
 
-platform::row table_state::read(std::string_view key)
+ports::row table_state::read(std::string_view key)
 {
     const std::scoped_lock lock(mutex_);
     ++statistics_.reads;
     const auto it = rows_.find(key);
     if (it != rows_.end())
         return it->second;
-    platform::row absent;
+    ports::row absent;
     absent.key = key;
     return absent;
 }
 
-platform::row_page table_state::scan(std::string_view prefix,
+ports::row_page table_state::scan(std::string_view prefix,
                                      std::string_view after, std::size_t limit)
 {
     const std::scoped_lock lock(mutex_);
     ++statistics_.reads;
-    platform::row_page out;
+    ports::row_page out;
     auto it =
         after < prefix ? rows_.lower_bound(prefix) : rows_.upper_bound(after);
     for (; it != rows_.end() && it->first.starts_with(prefix); ++it)
--- a/testing/standin/table_state.hpp
+++ b/testing/standin/table_state.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "mustardwick/platform/table.hpp"
+#include "mustardwick/ports/table.hpp"
 
 namespace mustardwick::testing
 {
@@ -29,23 +29,23 @@
     /// @brief Applies a transaction when all its checks hold.
     ///
     /// A repeated transaction id is not recognized: only the checks decide.
-    platform::commit_result commit(const platform::transaction& change);
+    ports::commit_result commit(const ports::transaction& change);
 
     /// @brief Reads one row; an absent row has version 0.
-    platform::row read(std::string_view key);
+    ports::row read(std::string_view key);
 
     /// @brief Reads rows whose keys have the prefix, in key order.
-    platform::row_page scan(std::string_view prefix, std::string_view after,
+    ports::row_page scan(std::string_view prefix, std::string_view after,
                             std::size_t limit = default_page_rows);
 
     table_statistics statistics() const;
 
 private:
     std::uint64_t version_of(const std::string& key) const;
-    void apply(const platform::transaction& change);
+    void apply(const ports::transaction& change);
 
     mutable std::mutex mutex_;
-    std::map<std::string, platform::row, std::less<>> rows_;
+    std::map<std::string, ports::row, std::less<>> rows_;
     std::uint64_t revision_ = 0;
     table_statistics statistics_;
 };
--- a/testing/standin/worker_codec.cpp
+++ b/testing/standin/worker_codec.cpp
@@ -32,10 +32,10 @@
 
 } // namespace
 
-platform::task_orders parse_orders(base::object_reader& reader,
+ports::task_orders parse_orders(base::object_reader& reader,
                                    std::vector<std::string>& errors)
 {
-    platform::task_orders out;
+    ports::task_orders out;
     out.stops = reader.texts("stops");
     const auto* starts = reader.raw("starts");
     if (starts == nullptr || !starts->is_array())
@@ -58,17 +58,17 @@
                       });
 }
 
-const char* name_of(platform::attempt_state state)
+const char* name_of(ports::attempt_state state)
 {
     switch (state)
     {
-    case platform::attempt_state::unknown:
+    case ports::attempt_state::unknown:
         return "unknown";
-    case platform::attempt_state::never_started:
+    case ports::attempt_state::never_started:
         return "never_started";
-    case platform::attempt_state::running:
+    case ports::attempt_state::running:
         return "running";
-    case platform::attempt_state::done:
+    case ports::attempt_state::done:
         break;
     }
     return "done";
--- a/testing/standin/worker_codec.hpp
+++ b/testing/standin/worker_codec.hpp
@@ -7,16 +7,16 @@
 #include <cpprest/json.h>
 
 #include "mustardwick/base/json.hpp"
-#include "mustardwick/platform/worker.hpp"
+#include "mustardwick/ports/worker.hpp"
 
 namespace mustardwick::testing
 {
 
 /// @brief Reads the starts and stops of an orders call.
-platform::task_orders parse_orders(base::object_reader& reader,
+ports::task_orders parse_orders(base::object_reader& reader,
                                    std::vector<std::string>& errors);
 
 web::json::value to_json(const std::vector<wire::attempt_report>& ended);
-const char* name_of(platform::attempt_state state);
+const char* name_of(ports::attempt_state state);
 
 } // namespace mustardwick::testing
--- a/testing/standin/worker_state.cpp
+++ b/testing/standin/worker_state.cpp
@@ -115,7 +115,7 @@
     return out;
 }
 
-platform::lease_state worker_state::open(const std::string& holder,
+ports::lease_state worker_state::open(const std::string& holder,
                                          std::chrono::milliseconds ttl)
 {
     const std::scoped_lock lock(mutex_);
@@ -128,20 +128,20 @@
                                     .text("lease", lease_)
                                     .text("holder", holder)
                                     .number("ttl_ms", ttl.count()));
-    platform::lease_state out;
+    ports::lease_state out;
     out.lease = lease_;
     for (const auto& [attempt, it] : tasks_)
         out.running.push_back(attempt);
     for (const auto& [attempt, it] : requests_)
     {
-        if (it.state == platform::attempt_state::running)
+        if (it.state == ports::attempt_state::running)
             out.requests.push_back(attempt);
     }
     out.ended = ended();
     return out;
 }
 
-std::optional<platform::lease_state>
+std::optional<ports::lease_state>
 worker_state::renew(const std::string& lease, std::chrono::milliseconds ttl,
                     const std::vector<std::string>& acknowledged)
 {
@@ -152,15 +152,15 @@
     lease_ends_ = clock_.now() + ttl;
     for (const auto& it : acknowledged)
         ended_.erase(it);
-    platform::lease_state out;
+    ports::lease_state out;
     out.lease = lease;
     out.ended = ended();
     return out;
 }
 
-std::optional<platform::task_orders_result>
+std::optional<ports::task_orders_result>
 worker_state::order(const std::string& lease,
-                    const platform::task_orders& orders)
+                    const ports::task_orders& orders)
 {
     const std::scoped_lock lock(mutex_);
     advance_locked();
@@ -169,7 +169,7 @@
         refuse_orders(lease, orders);
         return std::nullopt;
     }
-    platform::task_orders_result out;
+    ports::task_orders_result out;
     for (const auto& it : orders.stops)
     {
         stop(it);
@@ -184,7 +184,7 @@
 }
 
 void worker_state::refuse_orders(const std::string& lease,
-                                 const platform::task_orders& orders)
+                                 const ports::task_orders& orders)
 {
     for (const auto& it : orders.starts)
         record_.write(clock_.now(),
@@ -245,7 +245,7 @@
                       .text("echo", echo)
                       .text("lease", lease));
     if (!refused)
-        requests_[attempt].state = platform::attempt_state::running;
+        requests_[attempt].state = ports::attempt_state::running;
     return reason;
 }
 
@@ -253,7 +253,7 @@
                                const std::string& body)
 {
     const std::scoped_lock lock(mutex_);
-    requests_[attempt] = {platform::attempt_state::done, status, body};
+    requests_[attempt] = {ports::attempt_state::done, status, body};
     answered_.push_back(attempt);
     record_.write(clock_.now(), event("request_ended")
                                     .text("attempt", attempt)
@@ -278,7 +278,7 @@
     return issued_.count(lease) > 0;
 }
 
-platform::attempt_answer worker_state::attempt(const std::string& lease,
+ports::attempt_answer worker_state::attempt(const std::string& lease,
                                                const std::string& id)
 {
     const std::scoped_lock lock(mutex_);
@@ -287,7 +287,7 @@
         return it->second;
     if (issued_.count(lease) == 0)
         return {};
-    return {platform::attempt_state::never_started, 0, {}};
+    return {ports::attempt_state::never_started, 0, {}};
 }
 
 } // namespace mustardwick::testing
--- a/testing/standin/worker_state.hpp
+++ b/testing/standin/worker_state.hpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "mustardwick/base/clock.hpp"
-#include "mustardwick/platform/worker.hpp"
+#include "mustardwick/ports/worker.hpp"
 #include "mustardwick/wire/messages.hpp"
 #include "testing/standin/record.hpp"
 
@@ -60,17 +60,17 @@
     }
 
     /// @brief Opens a lease and closes the former one; tasks continue.
-    platform::lease_state open(const std::string& holder,
+    ports::lease_state open(const std::string& holder,
                                std::chrono::milliseconds ttl);
 
     /// @brief Renews a lease; nothing when it is closed or has lapsed.
-    std::optional<platform::lease_state>
+    std::optional<ports::lease_state>
     renew(const std::string& lease, std::chrono::milliseconds ttl,
           const std::vector<std::string>& acknowledged);
 
     /// @brief Starts and stops tasks; nothing when the lease is not open.
-    std::optional<platform::task_orders_result>
-    order(const std::string& lease, const platform::task_orders& orders);
+    std::optional<ports::task_orders_result>
+    order(const std::string& lease, const ports::task_orders& orders);
 
     /// @brief Begins a request under a lease.
     request_refusal begin_request(const std::string& lease,
@@ -87,7 +87,7 @@
     /// @brief What became of a request attempt that named a lease.
     ///
     /// Unknown when this worker did not issue the lease, as after a restart.
-    platform::attempt_answer attempt(const std::string& lease,
+    ports::attempt_answer attempt(const std::string& lease,
                                      const std::string& id);
 
     /// @brief Ends tasks whose time is over and lapses the lease.
@@ -115,7 +115,7 @@
     void end(const std::string& attempt, wire::attempt_event how,
              const std::string& detail, base::steady_time at);
     void refuse_orders(const std::string& lease,
-                       const platform::task_orders& orders);
+                       const ports::task_orders& orders);
     json_object event(const char* kind) const;
     json_object event(const char* kind, const wire::start_order& order) const;
     std::vector<wire::attempt_report> ended() const;
@@ -134,7 +134,7 @@
     /// Leases under which no request has been forgotten.
     std::set<std::string> issued_;
     std::map<std::string, wire::attempt_report> ended_;
-    std::map<std::string, platform::attempt_answer> requests_;
+    std::map<std::string, ports::attempt_answer> requests_;
     std::deque<std::string> answered_;
 };
 
