Bound placement rounds and answer callers only from durable state

A repeated cancel or submission was answered while the first one's commit was under way. Ruled out: advice channels (no unanswered questions in the log). Change: looked-up configuration is cached per job, rounds take at most a fifth of the time, steps of accounts at their maximum are left out early, tickets are checked again when an order is released, replies wait for the commit.

--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -7,7 +7,9 @@
 #include <vector>
 
 #include "mustardwick/base/clock.hpp"
+#include "mustardwick/dispatch/host_state.hpp"
 #include "mustardwick/dispatch/orders.hpp"
+#include "mustardwick/jobs/configuration.hpp"
 #include "mustardwick/jobs/record.hpp"
 #include "mustardwick/policy/advice_plan.hpp"
 
@@ -43,6 +45,19 @@
     std::int64_t number = 0;
 };
 
+/// @brief What the configuration says of a job, looked up once for each
+/// configuration.
+struct job_context
+{
+    std::uint64_t configuration_serial = 0;
+    /// Null while the configuration has no such queue.
+    const jobs::queue* queue = nullptr;
+    /// Null when the account has no maximum.
+    const policy::resources* maximum = nullptr;
+    account_usage* usage = nullptr;
+    std::int64_t objective_ms = 0;
+};
+
 /// @brief One job with its durable record and what depends on writing it.
 struct job_run
 {
@@ -54,8 +69,14 @@
     base::steady_time arrived;
     /// What callers are shown; final states only once they are durable.
     jobs::job_state shown = jobs::job_state::queued;
+    /// A commit that is done or under way carries the specification.
     bool specification_stored = false;
+    /// The rows exist in the store.
+    bool durable = false;
     bool dirty = false;
+    job_context context;
+    /// Expected run time of the steps that are left; negative when not known.
+    std::int64_t chain_left_ms = -1;
     bool removed = false;
     /// Released when the record is durable.
     std::vector<start_order> starts;
--- a/include/mustardwick/dispatch/orders.hpp
+++ b/include/mustardwick/dispatch/orders.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "mustardwick/base/clock.hpp"
 #include "mustardwick/jobs/job.hpp"
 #include "mustardwick/jobs/worker.hpp"
 
@@ -20,6 +21,8 @@
     std::string checkpoint;
     /// Permission of the advice service; empty when none is needed.
     std::string ticket;
+    /// When the ticket is no longer accepted.
+    base::steady_time ticket_expires = base::steady_time::max();
     /// On the worker's clock; the order has no effect after it.
     std::int64_t deadline_ms = 0;
 };
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -171,13 +171,15 @@
     void place_step(const ready_step& step);
     std::vector<candidate> find_candidates(const ready_step& step,
                                            std::vector<candidate>& unknown);
-    int account_room(const job_run& job, const policy::resources& size);
+    const job_context& context_of(job_run& job);
+    int account_room(job_run& job, const policy::resources& size);
     bool is_usable(const host_state& host, std::string_view service) const;
     int slots_on(const host_state& host, const ready_step& step) const;
-    policy::waiting_step outlook_inputs(const job_run& job,
-                                        const jobs::queue& queue) const;
+    static std::int64_t objective_of(const job_run& job,
+                                     const jobs::queue& queue);
+    policy::waiting_step outlook_inputs(job_run& job);
     void assign(const ready_step& step, int index, int run,
-                host_state& host, const std::string& ticket);
+                const candidate& where);
     void ask_advice(const ready_step& step, std::vector<candidate> unknown,
                     int missing);
 
@@ -195,7 +197,12 @@
     std::deque<std::string> dirty_;
     std::optional<effects> committing_;
     orders outbox_;
+    /// Usable hosts by service, for the length of one round.
+    std::map<std::string, std::vector<host_state*>, std::less<>> round_hosts_;
+    std::uint64_t configuration_serial_ = 1;
     bool placement_due_ = false;
+    /// No round before this time, and one at the latest at that one.
+    time_point earliest_placement_;
     time_point next_placement_;
     std::uint64_t next_number_ = 0;
     time_point created_;
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -17,6 +17,8 @@
 
 /// Time between two searches for jobs whose retention has ended.
 constexpr milliseconds sweep_interval{5000};
+/// Time that an order needs to reach a worker.
+constexpr milliseconds order_travel{30};
 
 std::int64_t wall_ms(const base::clock& time)
 {
@@ -44,6 +46,7 @@
 void planner::set_configuration(jobs::configuration value)
 {
     configuration_ = std::move(value);
+    ++configuration_serial_;
     placement_due_ = true;
 }
 
@@ -61,6 +64,7 @@
 
 void planner::mark_dirty(job_run& job)
 {
+    job.chain_left_ms = -1;
     if (job.dirty)
         return;
     job.dirty = true;
@@ -105,10 +109,10 @@
     if (auto* known = find_job(id))
     {
         // The same id is the same job, also when its caller asks again.
-        if (known->specification_stored)
+        if (known->durable)
             return done();
         known->replies.emplace_back(std::move(done));
-        return;
+        return mark_dirty(*known);
     }
     auto& job = jobs_[id];
     job.specification = std::move(specification);
@@ -138,6 +142,7 @@
     job.arrived = clock_.now() - age;
     job.shown = job.record.state;
     job.specification_stored = true;
+    job.durable = true;
     for (std::size_t it = 0; it < job.record.open.size(); ++it)
         job.steps.emplace_back(job.specification.steps.size());
     if (is_final(job.record.state))
@@ -169,7 +174,8 @@
     auto* job = find_job(id);
     if (job == nullptr)
         return done(cancel_result::unknown_job);
-    if (is_final(job->record.state) && !job->dirty)
+    // A final state that is shown is durable.
+    if (is_final(job->shown))
         return done(cancel_result::cancelled);
     job->replies.emplace_back([done = std::move(done)]
                               { done(cancel_result::cancelled); });
@@ -312,7 +318,10 @@
     }
     for (const auto& [id, state] : batch.states)
         if (auto* job = find_job(id))
+        {
             job->shown = state;
+            job->durable = true;
+        }
     for (const auto& id : batch.removed)
         jobs_.erase(id);
     release_starts(std::move(batch.starts));
@@ -338,9 +347,10 @@
                 : configuration_.queues.find(job->specification.queue);
         // What was true when the host was chosen may have changed since.
         if (queue == configuration_.queues.end() ||
-            !is_usable(host, queue->second.service))
+            !is_usable(host, queue->second.service) ||
+            order.ticket_expires < clock_.now() + order_travel)
         {
-            run_lost(host, it->first, "the host left service");
+            run_lost(host, it->first, "host or ticket is no longer valid");
             continue;
         }
         order.deadline_ms =
@@ -383,13 +393,22 @@
     settle_lost_leases();
     drop_expired_jobs();
     const auto now = clock_.now();
-    if (placement_due_ || now >= next_placement_)
+    if ((placement_due_ && now >= earliest_placement_) ||
+        now >= next_placement_)
     {
         // Tickets, quarantines and due times pass without an event.
         constexpr milliseconds idle_placement_interval{100};
-        next_placement_ = now + idle_placement_interval;
         placement_due_ = false;
         place_waiting_steps();
+        // Rounds take at most a fifth of the time, however much work waits.
+        constexpr int round_share = 5;
+        constexpr milliseconds least_interval{6};
+        const auto ended = clock_.now();
+        earliest_placement_ =
+            ended + std::max<std::chrono::steady_clock::duration>(
+                        least_interval, (ended - now) * (round_share - 1));
+        next_placement_ = std::max(earliest_placement_,
+                                   ended + idle_placement_interval);
     }
     return std::exchange(outbox_, {});
 }
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -25,9 +25,6 @@
 constexpr milliseconds ticket_reserve{250};
 /// Pause after a question that was not answered.
 constexpr milliseconds question_retry{150};
-/// How far a ready step may be behind in the queue and still be asked about
-/// when nothing is free; bounds the work of one round.
-constexpr std::size_t max_steps_per_round = 600;
 
 std::int64_t estimate_of(const jobs::step& step)
 {
@@ -91,6 +88,7 @@
     host_state* host = nullptr;
     int slots = 0;
     std::string ticket;
+    base::steady_time ticket_expires = base::steady_time::max();
     bool near_data = false;
 };
 
@@ -129,24 +127,54 @@
            !evacuated_.contains(host.info.failure_domain);
 }
 
-policy::waiting_step planner::outlook_inputs(const job_run& job,
-                                             const jobs::queue& queue) const
+std::int64_t planner::objective_of(const job_run& job,
+                                   const jobs::queue& queue)
 {
-    const auto& steps = job.specification.steps;
     const auto advice = queue.advice
                             ? std::int64_t(queue.advice->base_ms +
                                            queue.advice->per_host_ms *
                                                hosts_in_objective)
                             : 0;
-    const auto whole =
-        longest_chain(steps, advice, [](std::size_t) { return true; });
-    const auto& tasks = job.record.open.front().tasks;
+    const auto whole = longest_chain(job.specification.steps, advice,
+                                     [](std::size_t) { return true; });
+    return std::int64_t(queue.stretch * double(whole)) +
+           queue.target_latency_ms;
+}
+
+const job_context& planner::context_of(job_run& job)
+{
+    auto& out = job.context;
+    if (out.configuration_serial == configuration_serial_)
+        return out;
+    out = {};
+    out.configuration_serial = configuration_serial_;
+    out.usage = &usage_of(job.specification.account);
+    const auto queue = configuration_.queues.find(job.specification.queue);
+    if (queue != configuration_.queues.end())
+    {
+        out.queue = &queue->second;
+        out.objective_ms = objective_of(job, queue->second);
+    }
+    const auto account =
+        configuration_.accounts.find(job.specification.account);
+    if (account != configuration_.accounts.end())
+        out.maximum = &account->second.maximum;
+    return out;
+}
+
+policy::waiting_step planner::outlook_inputs(job_run& job)
+{
+    if (job.chain_left_ms < 0)
+    {
+        const auto& tasks = job.record.open.front().tasks;
+        job.chain_left_ms = longest_chain(
+            job.specification.steps, 0,
+            [&](std::size_t it) { return !is_step_done(tasks[it]); });
+    }
     policy::waiting_step out;
-    out.priority = queue.priority;
-    out.chain_left_ms = longest_chain(
-        steps, 0, [&](std::size_t it) { return !is_step_done(tasks[it]); });
-    const auto objective = std::int64_t(queue.stretch * double(whole)) +
-                           queue.target_latency_ms;
+    out.priority = job.context.queue->priority;
+    out.chain_left_ms = job.chain_left_ms;
+    const auto objective = job.context.objective_ms;
     const auto age = std::chrono::duration_cast<milliseconds>(clock_.now() -
                                                               job.arrived)
                          .count();
@@ -162,14 +190,14 @@
     for (const auto& [number, id] : active_)
     {
         auto& job = jobs_.at(id);
-        const auto queue = configuration_.queues.find(job.specification.queue);
-        if (queue == configuration_.queues.end())
+        const auto* queue = context_of(job).queue;
+        if (queue == nullptr)
             continue;
         open_due_occurrences(job);
         if (job.record.open.empty())
             continue;
         const auto urgency =
-            policy::urgency_of(outlook_inputs(job, queue->second));
+            policy::urgency_of(outlook_inputs(job));
         for (std::size_t at = 0; at < job.record.open.size(); ++at)
         {
             const auto& tasks = job.record.open[at].tasks;
@@ -184,9 +212,11 @@
                 const bool blocked = std::any_of(
                     spec.after.begin(), spec.after.end(), [&](int earlier)
                     { return !is_step_done(tasks[std::size_t(earlier)]); });
-                if (!blocked)
+                // Work of an account at its maximum can neither start nor be
+                // asked about, however much of it waits.
+                if (!blocked && account_room(job, spec.size) > 0)
                     out.push_back(
-                        {&job, at, int(it), &queue->second, waiting, urgency});
+                        {&job, at, int(it), queue, waiting, urgency});
             }
         }
     }
@@ -199,9 +229,11 @@
 void planner::place_waiting_steps()
 {
     const auto began = clock_.now();
-    auto steps = collect_ready_steps();
-    if (steps.size() > max_steps_per_round)
-        steps.resize(max_steps_per_round);
+    round_hosts_.clear();
+    for (auto& [id, host] : hosts_)
+        if (is_usable(host, host.info.service))
+            round_hosts_[host.info.service].push_back(&host);
+    const auto steps = collect_ready_steps();
     for (const auto& it : steps)
         place_step(it);
     metrics_.observe("mustardwick_placement_round_seconds",
@@ -209,14 +241,13 @@
                          .count());
 }
 
-int planner::account_room(const job_run& job, const policy::resources& size)
+int planner::account_room(job_run& job, const policy::resources& size)
 {
-    const auto account =
-        configuration_.accounts.find(job.specification.account);
-    if (account == configuration_.accounts.end())
+    const auto& context = context_of(job);
+    if (context.maximum == nullptr)
         return std::numeric_limits<int>::max();
-    const auto& most = account->second.maximum;
-    const auto& used = usage_of(job.specification.account).used;
+    const auto& most = *context.maximum;
+    const auto& used = context.usage->used;
     std::int64_t n = std::numeric_limits<int>::max();
     const auto bound =
         [&n](std::int64_t limit, std::int64_t taken, std::int64_t need)
@@ -233,6 +264,12 @@
 int planner::slots_on(const host_state& host, const ready_step& step) const
 {
     const auto& spec = step.spec();
+    auto size = spec.size;
+    if (spec.uses_leftover)
+        size.millicpus = 0;
+    int n = units_in(host.free(), size, step.waiting);
+    if (n == 0)
+        return 0;
     const auto& labels = host.info.labels;
     if (!spec.required_label.empty() &&
         std::find(labels.begin(), labels.end(), spec.required_label) ==
@@ -240,14 +277,11 @@
         return 0;
     // Tasks that use leftovers can slow a serving neighbour past its target;
     // they are kept apart.
-    for (const auto& [key, it] : host.runs)
-        if ((spec.uses_leftover && it.serves_users) ||
-            (spec.target_ms > 0 && it.uses_leftover))
-            return 0;
-    auto size = spec.size;
-    if (spec.uses_leftover)
-        size.millicpus = 0;
-    int n = units_in(host.free(), size, step.waiting);
+    if (spec.uses_leftover || spec.target_ms > 0)
+        for (const auto& [key, it] : host.runs)
+            if ((spec.uses_leftover && it.serves_users) ||
+                (spec.target_ms > 0 && it.uses_leftover))
+                return 0;
     if (spec.max_per_host > 0)
     {
         int there = 0;
@@ -268,17 +302,16 @@
     std::vector<candidate> allowed;
     const auto now = clock_.now();
     const auto& state = step.state();
-    for (auto& [id, host] : hosts_)
+    for (auto* host : round_hosts_[step.queue->service])
     {
-        if (!is_usable(host, step.queue->service) || state.denied.contains(id))
-            continue;
         candidate it;
-        it.slots = slots_on(host, step);
-        if (it.slots == 0)
+        it.slots = slots_on(*host, step);
+        const auto& id = host->info.id;
+        if (it.slots == 0 || state.denied.contains(id))
             continue;
-        it.host = &host;
+        it.host = host;
         it.near_data = step.spec().preferred_rack.empty() ||
-                       step.spec().preferred_rack == host.info.rack;
+                       step.spec().preferred_rack == host->info.rack;
         if (step.queue->advice)
         {
             const auto ticket = state.tickets.find(id);
@@ -289,6 +322,7 @@
                 continue;
             }
             it.ticket = ticket->second.ticket;
+            it.ticket_expires = ticket->second.expires;
         }
         allowed.push_back(std::move(it));
     }
@@ -337,8 +371,7 @@
         // All members of an all-at-once step share one run number.
         const int number =
             spec.all_at_once ? run + 1 : tasks[index].run + 1;
-        assign(step, int(index), number, *allowed[at].host,
-               allowed[at].ticket);
+        assign(step, int(index), number, allowed[at]);
         ++placed;
         if (--left_here == 0 && ++at < allowed.size())
             left_here = allowed[at].slots;
@@ -347,8 +380,9 @@
 }
 
 void planner::assign(const ready_step& step, int index, int run,
-                     host_state& host, const std::string& ticket)
+                     const candidate& where)
 {
+    auto& host = *where.host;
     auto& job = *step.job;
     auto& record = step.tasks()[std::size_t(index)];
     record.state = jobs::task_state::assigned;
@@ -364,7 +398,8 @@
     order.run = run;
     order.payload = job.specification.payload;
     order.checkpoint = record.checkpoint;
-    order.ticket = ticket;
+    order.ticket = where.ticket;
+    order.ticket_expires = where.ticket_expires;
     job.starts.push_back(std::move(order));
     if (job.record.state == jobs::job_state::queued)
     {
