Ask the advisor only when a channel is free

Ruled out: accounts at their maximum (0 steps), hosts out of use (48 usable). Change: the planner takes the number of free channels and asks for the most urgent steps only; the leader logs a status line a second.

--- a/include/mustardwick/dispatch/orders.hpp
+++ b/include/mustardwick/dispatch/orders.hpp
@@ -35,6 +35,18 @@
     int run = 0;
 };
 
+/// @brief Questions to the advisor that can be sent at once.
+struct advice_capacity
+{
+    std::size_t free = 0;
+    /// Those of them that may be long.
+    std::size_t free_for_long = 0;
+};
+
+/// Questions that take longer than this are long: well above what steps of
+/// urgent queues need, which must find a free channel at any time.
+inline constexpr std::int64_t long_question_ms = 150;
+
 /// @brief Ask which of some workers may run a step.
 struct advice_question
 {
@@ -42,8 +54,12 @@
     std::int64_t occurrence = 0;
     int step = 0;
     std::vector<std::string> workers;
-    int priority = 0;
     std::int64_t expected_ms = 0;
+
+    bool is_long() const
+    {
+        return expected_ms > long_question_ms;
+    }
 };
 
 /// @brief Permission to run a step on a worker.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -43,6 +43,21 @@
     unknown_job
 };
 
+/// @brief Why work waits, as of the last placement round.
+struct round_summary
+{
+    std::size_t active_jobs = 0;
+    std::size_t ready_steps = 0;
+    /// Steps whose account is at its maximum.
+    std::size_t at_maximum = 0;
+    /// Steps that wait for an answer of the advisor.
+    std::size_t asking = 0;
+    /// Steps for which too few hosts have room.
+    std::size_t without_room = 0;
+    std::size_t usable_hosts = 0;
+    std::int64_t free_millicpus = 0;
+};
+
 /// @brief Decides about all submitted work of a cell; does no I/O.
 ///
 /// State changes are made durable by the caller: next_commit() hands out the
@@ -107,12 +122,19 @@
     /// @}
 
     /// @brief Decides placements and takes what is to be sent.
-    orders take_orders();
+    ///
+    /// Questions that no channel could take are not asked: while they waited,
+    /// the room that they are about would be taken by others.
+    orders take_orders(advice_capacity advice);
 
     /// @brief The deadline of a lease that is renewed now; none before the
     /// worker's clock is known. Notes that the lease may last until then.
     std::optional<std::int64_t> lease_deadline(const std::string& id);
     std::int64_t acknowledged_end(const std::string& id) const;
+    const round_summary& last_round() const
+    {
+        return round_;
+    }
     const std::map<std::string, host_state, std::less<>>& hosts() const
     {
         return hosts_;
@@ -199,6 +221,8 @@
     orders outbox_;
     /// Usable hosts by service, for the length of one round.
     std::map<std::string, std::vector<host_state*>, std::less<>> round_hosts_;
+    round_summary round_;
+    advice_capacity advice_;
     std::uint64_t configuration_serial_ = 1;
     bool placement_due_ = false;
     /// No round before this time, and one at the latest at that one.
--- a/include/mustardwick/entry/advice_pool.hpp
+++ b/include/mustardwick/entry/advice_pool.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,7 +34,10 @@
                 platform::advice_client& local, base::metrics& metrics,
                 member_list members, answer done);
 
-    void ask(dispatch::advice_question question);
+    /// @brief Channels that are free now.
+    dispatch::advice_capacity capacity() const;
+    /// @brief Sends a question; there must be capacity for it.
+    void ask(const dispatch::advice_question& question);
     void stop();
 
 private:
@@ -45,9 +47,7 @@
         base::steady_time avoid_until;
     };
 
-    void dispatch_waiting();
-    bool send(const dispatch::advice_question& question,
-              const std::vector<member_record>& members);
+    bool is_free(const std::string& name) const;
     void finished(const std::string& member, bool is_long,
                   const dispatch::advice_question& question,
                   std::optional<std::vector<dispatch::advice_ticket>> allowed,
@@ -59,8 +59,6 @@
     base::metrics& metrics_;
     member_list members_;
     answer done_;
-    /// Most urgent first; in order of arrival within a priority.
-    std::list<dispatch::advice_question> waiting_;
     std::map<std::string, channel> channels_;
     std::size_t long_open_ = 0;
     bool stopped_ = false;
--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -78,6 +78,7 @@
     void pump_commits();
     void committed(bool durable);
     void keep_duty();
+    void report_status();
     void step_down(std::string_view reason,
                    std::optional<member_record> successor);
     bool has_authority() const;
@@ -94,6 +95,7 @@
     boost::asio::steady_timer registry_timer_;
     boost::asio::steady_timer duty_timer_;
     base::steady_time started_;
+    base::steady_time next_status_;
     /// Member that takes the duty after a release.
     std::optional<member_record> successor_;
     std::map<std::string, stored_job> stored_;
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -388,8 +388,9 @@
                   });
 }
 
-orders planner::take_orders()
+orders planner::take_orders(advice_capacity advice)
 {
+    advice_ = advice;
     settle_lost_leases();
     drop_expired_jobs();
     const auto now = clock_.now();
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -214,7 +214,11 @@
                     { return !is_step_done(tasks[std::size_t(earlier)]); });
                 // Work of an account at its maximum can neither start nor be
                 // asked about, however much of it waits.
-                if (!blocked && account_room(job, spec.size) > 0)
+                if (blocked)
+                    continue;
+                if (account_room(job, spec.size) == 0)
+                    ++round_.at_maximum;
+                else
                     out.push_back(
                         {&job, at, int(it), queue, waiting, urgency});
             }
@@ -230,10 +234,17 @@
 {
     const auto began = clock_.now();
     round_hosts_.clear();
+    round_ = {};
     for (auto& [id, host] : hosts_)
         if (is_usable(host, host.info.service))
+        {
             round_hosts_[host.info.service].push_back(&host);
+            ++round_.usable_hosts;
+            round_.free_millicpus += host.free().millicpus;
+        }
     const auto steps = collect_ready_steps();
+    round_.active_jobs = active_.size();
+    round_.ready_steps = steps.size();
     for (const auto& it : steps)
         place_step(it);
     metrics_.observe("mustardwick_placement_round_seconds",
@@ -353,6 +364,10 @@
     const int missing = affordable - std::min(affordable, room);
     if (missing > 0 && !unknown.empty())
         ask_advice(step, std::move(unknown), missing);
+    if (step.state().question_open)
+        ++round_.asking;
+    else if (room < affordable)
+        ++round_.without_room;
     if (room == 0 || (spec.all_at_once && room < affordable))
         return;
     int run = 0;
@@ -420,7 +435,8 @@
                          std::vector<candidate> unknown, int missing)
 {
     auto& state = step.state();
-    if (state.question_open || state.next_question > clock_.now())
+    if (state.question_open || state.next_question > clock_.now() ||
+        advice_.free == 0)
         return;
     // Hosts that were allowed before need no luck; then those with most room.
     std::stable_sort(unknown.begin(), unknown.end(),
@@ -447,10 +463,14 @@
     question.step = step.step;
     for (std::size_t it = 0; it < n; ++it)
         question.workers.push_back(unknown[it].host->info.id);
-    question.priority = step.queue->priority;
     question.expected_ms =
         std::int64_t(step.queue->advice->base_ms +
                      step.queue->advice->per_host_ms * double(n));
+    if (question.is_long() && advice_.free_for_long == 0)
+        return;
+    --advice_.free;
+    if (question.is_long())
+        --advice_.free_for_long;
     state.question_open = true;
     metrics_.add("mustardwick_advice_questions_total");
     metrics_.add("mustardwick_advice_hosts_total", n);
--- a/src/mustardwick/entry/advice_pool.cpp
+++ b/src/mustardwick/entry/advice_pool.cpp
@@ -12,8 +12,6 @@
 
 using std::chrono::milliseconds;
 
-/// Questions that take longer than this are long.
-constexpr std::int64_t long_question_ms = 150;
 /// Part of the channels that long questions may use.
 constexpr double long_share = 0.65;
 /// Time beyond the expected one after which a question is given up.
@@ -37,88 +35,69 @@
 void advice_pool::stop()
 {
     stopped_ = true;
-    waiting_.clear();
 }
 
-void advice_pool::ask(dispatch::advice_question question)
+bool advice_pool::is_free(const std::string& name) const
 {
-    const auto it = std::find_if(
-        waiting_.begin(), waiting_.end(), [&](const auto& other)
-        { return other.priority > question.priority; });
-    waiting_.insert(it, std::move(question));
-    dispatch_waiting();
+    const auto it = channels_.find(name);
+    return it == channels_.end() ||
+           (it->second.open == 0 && it->second.avoid_until <= clock_.now());
 }
 
-void advice_pool::dispatch_waiting()
+dispatch::advice_capacity advice_pool::capacity() const
 {
-    if (stopped_ || waiting_.empty())
-        return;
+    dispatch::advice_capacity out;
+    if (stopped_)
+        return out;
     const auto members = members_();
+    out.free = is_free(own_channel) ? 1 : 0;
+    for (const auto& it : members)
+        out.free += is_free(it.name) ? 1 : 0;
     const auto most_long = std::max<std::size_t>(
         1, std::size_t(double(members.size() + 1) * long_share));
-    auto it = waiting_.begin();
-    while (it != waiting_.end())
-    {
-        const bool is_long = it->expected_ms > long_question_ms;
-        if (is_long && long_open_ >= most_long)
-        {
-            ++it;
-            continue;
-        }
-        if (!send(*it, members))
-            return;
-        it = waiting_.erase(it);
-    }
+    if (most_long > long_open_)
+        out.free_for_long = std::min(out.free, most_long - long_open_);
+    return out;
 }
 
-bool advice_pool::send(const dispatch::advice_question& question,
-                       const std::vector<member_record>& members)
+void advice_pool::ask(const dispatch::advice_question& question)
 {
     const auto now = clock_.now();
-    const auto is_free = [&](const std::string& name)
-    {
-        const auto& it = channels_[name];
-        return it.open == 0 && it.avoid_until <= now;
-    };
-    const bool is_long = question.expected_ms > long_question_ms;
+    const bool is_long = question.is_long();
     const auto timeout = milliseconds(question.expected_ms) + answer_slack;
     const auto finish = [self = shared_from_this(), question, is_long,
                          now](const std::string& name, auto allowed)
     { self->finished(name, is_long, question, std::move(allowed), now); };
+    long_open_ += is_long ? 1 : 0;
+    const auto members = members_();
     const auto member =
         std::find_if(members.begin(), members.end(),
                      [&](const auto& it) { return is_free(it.name); });
-    if (member != members.end())
+    if (member == members.end())
     {
-        ++channels_[member->name].open;
-        long_open_ += is_long ? 1 : 0;
-        advice_request request{question.job, question.occurrence,
-                               question.step, question.workers,
-                               timeout.count()};
-        peers_.call({member->address, member->port},
-                    wire::message_type::ask_advice, wire::encode(request),
-                    timeout + milliseconds(100),
-                    [finish, name = member->name](aio::peer_result result)
-                    {
-                        std::optional<std::vector<dispatch::advice_ticket>>
-                            allowed;
-                        std::optional<advice_reply> reply;
-                        if (result.answered)
-                            reply = wire::decode<advice_reply>(result.payload);
-                        if (reply && reply->answered)
-                            allowed = std::move(reply->allowed);
-                        finish(name, std::move(allowed));
-                    });
-        return true;
+        ++channels_[own_channel].open;
+        return local_.ask(question, timeout,
+                          [finish](auto allowed)
+                          { finish(own_channel, std::move(allowed)); });
     }
-    if (!is_free(own_channel))
-        return false;
-    ++channels_[own_channel].open;
-    long_open_ += is_long ? 1 : 0;
-    local_.ask(question, timeout,
-               [finish](auto allowed)
-               { finish(own_channel, std::move(allowed)); });
-    return true;
+    ++channels_[member->name].open;
+    const advice_request request{question.job, question.occurrence,
+                                 question.step, question.workers,
+                                 timeout.count()};
+    peers_.call({member->address, member->port},
+                wire::message_type::ask_advice, wire::encode(request),
+                timeout + milliseconds(100),
+                [finish, name = member->name](const aio::peer_result& result)
+                {
+                    std::optional<std::vector<dispatch::advice_ticket>>
+                        allowed;
+                    std::optional<advice_reply> reply;
+                    if (result.answered)
+                        reply = wire::decode<advice_reply>(result.payload);
+                    if (reply && reply->answered)
+                        allowed = std::move(reply->allowed);
+                    finish(name, std::move(allowed));
+                });
 }
 
 void advice_pool::finished(
@@ -135,10 +114,8 @@
         it.avoid_until = now + failed_pause;
     metrics_.observe("mustardwick_advice_seconds",
                      std::chrono::duration<double>(now - asked).count());
-    if (stopped_)
-        return;
-    done_(question, std::move(allowed), asked);
-    dispatch_waiting();
+    if (!stopped_)
+        done_(question, std::move(allowed), asked);
 }
 
 } // namespace mustardwick::entry
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -34,6 +34,7 @@
 constexpr milliseconds newer_answer_margin{300};
 /// A small host that leads looks for a larger one after this time.
 constexpr milliseconds time_before_handing_up{1500};
+constexpr milliseconds status_interval{1000};
 constexpr int page_rows = 500;
 /// The store takes 100 entries and 1 MB a transaction; the head row is one,
 /// and base64 enlarges values by a third.
@@ -325,9 +326,9 @@
 {
     if (!loaded_)
         return;
-    auto orders = planner_.take_orders();
-    for (auto& it : orders.questions)
-        advice_->ask(std::move(it));
+    auto orders = planner_.take_orders(advice_->capacity());
+    for (const auto& it : orders.questions)
+        advice_->ask(it);
     workers_->deliver(std::move(orders));
     pump_commits();
 }
@@ -400,6 +401,7 @@
     schedule_work();
     if (!loaded_)
         pump_commits();
+    report_status();
     const auto failing = log_->failing_since();
     if (failing && env_.clock.now() - *failing > failing_before_hand_over)
         if (const auto member =
@@ -423,6 +425,24 @@
         });
 }
 
+void cell_leader::report_status()
+{
+    const auto now = env_.clock.now();
+    if (now < next_status_)
+        return;
+    next_status_ = now + status_interval;
+    const auto& round = planner_.last_round();
+    log_event(log_level::info, "leader", "status",
+              {{"active_jobs", round.active_jobs},
+               {"ready_steps", round.ready_steps},
+               {"at_maximum", round.at_maximum},
+               {"asking", round.asking},
+               {"free_channels", advice_->capacity().free},
+               {"without_room", round.without_room},
+               {"usable_hosts", round.usable_hosts},
+               {"free_millicpus", round.free_millicpus}});
+}
+
 void cell_leader::step_down(std::string_view reason,
                             std::optional<member_record> successor)
 {
