--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -29,6 +29,8 @@
     std::map<std::string, held_ticket, std::less<>> tickets;
     /// Workers that the policy does not allow; this never changes for a step.
     std::set<std::string, std::less<>> denied;
+    /// When the last of the tickets expires.
+    base::steady_time tickets_until;
     bool question_open = false;
     base::steady_time next_question;
     /// Failures of an all-at-once step count once for each run number.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -190,6 +190,7 @@
     // planner_place.cpp
     void place_waiting_steps();
     std::vector<ready_step> collect_ready_steps();
+    bool can_use_advice(const ready_step& step);
     void place_step(const ready_step& step);
     std::vector<candidate> find_candidates(const ready_step& step,
                                            std::vector<candidate>& unknown);
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -349,6 +349,19 @@
     return allowed;
 }
 
+bool planner::can_use_advice(const ready_step& step)
+{
+    auto& state = step.state();
+    const auto now = clock_.now();
+    // A search over all hosts is of use only with tickets or a free channel;
+    // without, a backlog of thousands of steps would make each round as slow.
+    const bool may_ask = advice_.free > 0 && !state.question_open &&
+                         state.next_question <= now;
+    if (state.question_open)
+        ++round_.asking;
+    return may_ask || state.tickets_until > now + ticket_reserve;
+}
+
 void planner::place_step(const ready_step& step)
 {
     const auto& spec = step.spec();
@@ -356,6 +369,8 @@
         std::min(step.waiting, account_room(*step.job, spec.size));
     if (affordable == 0 || (spec.all_at_once && affordable < step.waiting))
         return;
+    if (step.queue->advice && !can_use_advice(step))
+        return;
     std::vector<candidate> unknown;
     const auto allowed = find_candidates(step, unknown);
     int room = 0;
@@ -364,9 +379,7 @@
     const int missing = affordable - std::min(affordable, room);
     if (missing > 0 && !unknown.empty())
         ask_advice(step, std::move(unknown), missing);
-    if (step.state().question_open)
-        ++round_.asking;
-    else if (room < affordable)
+    if (room < affordable)
         ++round_.without_room;
     if (room == 0 || (spec.all_at_once && room < affordable))
         return;
@@ -512,6 +525,8 @@
             ++granted;
         state->tickets[it.worker] = {it.ticket, expires};
     }
+    if (!allowed->empty())
+        state->tickets_until = std::max(state->tickets_until, expires);
     allowed_share_[queue->first].note(news, granted);
     for (const auto& id : question.workers)
         if (!state->tickets.contains(id))
