Place surplus of an account last and split wide questions

Change: jobs beyond an account's weight a second wait behind the others; a question is split over free channels.

--- a/include/mustardwick/coordination/config_store.hpp
+++ b/include/mustardwick/coordination/config_store.hpp
@@ -111,8 +111,8 @@
     bool apply_log(std::uint64_t version);
     void publish(std::shared_ptr<const configuration> value);
     ports::transaction build_change(const change_request& request,
-                                       const ports::row& head,
-                                       std::uint64_t version) const;
+                                    const ports::row& head,
+                                    std::uint64_t version) const;
 
     ports::table table_;
     const base::clock& clock_;
--- a/include/mustardwick/coordination/job_book.hpp
+++ b/include/mustardwick/coordination/job_book.hpp
@@ -14,10 +14,10 @@
 #include "mustardwick/base/clock.hpp"
 #include "mustardwick/coordination/records.hpp"
 #include "mustardwick/coordination/resources.hpp"
-#include "mustardwick/ports/table.hpp"
-#include "mustardwick/ports/worker.hpp"
 #include "mustardwick/policy/cell.hpp"
 #include "mustardwick/policy/scheduler.hpp"
+#include "mustardwick/ports/table.hpp"
+#include "mustardwick/ports/worker.hpp"
 #include "mustardwick/wire/messages.hpp"
 
 namespace mustardwick::coordination
--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -8,6 +8,7 @@
 
 #include "mustardwick/base/clock.hpp"
 #include "mustardwick/jobs/worker.hpp"
+#include "mustardwick/policy/share_meter.hpp"
 
 namespace mustardwick::dispatch
 {
@@ -86,6 +87,7 @@
 struct account_usage
 {
     policy::resources used;
+    policy::share_meter share;
 };
 
 } // namespace mustardwick::dispatch
--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -31,7 +31,8 @@
     std::set<std::string, std::less<>> denied;
     /// When the last of the tickets expires.
     base::steady_time tickets_until;
-    bool question_open = false;
+    /// Questions that are not answered yet.
+    int open_questions = 0;
     base::steady_time next_question;
     /// Failures of an all-at-once step count once for each run number.
     int failed_run = 0;
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -202,6 +202,7 @@
     policy::waiting_step outlook_inputs(job_run& job);
     void assign(const ready_step& step, int index, int run,
                 const candidate& where);
+    void ask_question(const ready_step& step, std::vector<std::string> workers);
     void ask_advice(const ready_step& step, std::vector<candidate> unknown,
                     int missing);
 
--- a/include/mustardwick/jobs/job.hpp
+++ b/include/mustardwick/jobs/job.hpp
@@ -72,12 +72,14 @@
     std::int64_t interval_ms = 0;
     /// Wall clock milliseconds at which the job arrived.
     std::int64_t arrived_ms = 0;
+    /// The job came beyond its account's share.
+    bool over_share = false;
 
     template <typename Archive>
     void serialize(Archive& ar)
     {
         ar(id, queue, account, payload, steps, occurrences, first_due_ms,
-           interval_ms, arrived_ms);
+           interval_ms, arrived_ms, over_share);
     }
 };
 
--- a/include/mustardwick/policy/advice_plan.hpp
+++ b/include/mustardwick/policy/advice_plan.hpp
@@ -10,9 +10,8 @@
 /// @brief Bounds of one question about the hosts that may run a step.
 struct advice_limits
 {
-    /// Hosts in one question. The objective of a job counts one question
-    /// about this many per step.
-    std::size_t most_hosts = 30;
+    /// Hosts that one step is asked about at once.
+    std::size_t most_hosts = 120;
     /// Expected room over what is needed. Fewer allowed hosts than expected
     /// cost a second question, which is dearer than a few more hosts.
     double margin = 1.5;
@@ -39,6 +38,22 @@
     return n;
 }
 
+/// Hosts in one question while channels are free; the fixed part of a
+/// question takes as long as about 70 hosts.
+inline constexpr std::size_t hosts_per_question = 15;
+
+/// @brief Number of questions, asked at the same time, that hosts are split
+/// into.
+///
+/// Load pattern: wide all-at-once steps beside idle channels.
+inline std::size_t questions_for(std::size_t hosts, std::size_t free_channels)
+{
+    // Half of the free channels stay for the steps that come next.
+    const auto most = std::max<std::size_t>(1, free_channels / 2);
+    const auto wanted = (hosts + hosts_per_question - 1) / hosts_per_question;
+    return std::min(wanted, most);
+}
+
 /// @brief Share of allowed hosts, learned from the answers of a queue.
 class allowed_share
 {
--- a/include/mustardwick/policy/urgency.hpp
+++ b/include/mustardwick/policy/urgency.hpp
@@ -17,6 +17,8 @@
     std::int64_t objective_left_ms = 0;
     /// Time left until a late completion is worth nothing.
     std::int64_t late_left_ms = 0;
+    /// The job is beyond its account's share.
+    bool over_share = false;
 };
 
 /// @brief What finishing a step as early as possible can still earn.
@@ -24,18 +26,22 @@
 {
     in_time,
     late,
+    /// Beyond the account's share.
+    surplus,
     worthless
 };
 
 /// @brief Load pattern: a burst that leaves more work than fits. Work that can
-/// still be in time goes before work that cannot.
+/// still be in time goes before work that cannot, and an account's surplus
+/// waits for what the others may count on.
 inline outlook outlook_of(const waiting_step& it)
 {
-    if (it.chain_left_ms <= it.objective_left_ms)
-        return outlook::in_time;
-    if (it.chain_left_ms <= it.late_left_ms)
-        return outlook::late;
-    return outlook::worthless;
+    if (it.chain_left_ms > it.late_left_ms)
+        return outlook::worthless;
+    if (it.over_share)
+        return outlook::surplus;
+    return it.chain_left_ms <= it.objective_left_ms ? outlook::in_time
+                                                    : outlook::late;
 }
 
 /// @brief Sort key: outlook, priority, then least slack first.
--- a/src/mustardwick/caller/job_service.cpp
+++ b/src/mustardwick/caller/job_service.cpp
@@ -94,8 +94,7 @@
     return out;
 }
 
-job_service::job_service(ports::table table,
-                         coordination::group_commit& writes,
+job_service::job_service(ports::table table, coordination::group_commit& writes,
                          nudge_function nudge)
     : table_(std::move(table)), writes_(writes), nudge_(std::move(nudge))
 {
--- a/src/mustardwick/coordination/config_store.cpp
+++ b/src/mustardwick/coordination/config_store.cpp
@@ -262,8 +262,8 @@
 }
 
 ports::transaction config_store::build_change(const change_request& request,
-                                                 const ports::row& head,
-                                                 std::uint64_t version) const
+                                              const ports::row& head,
+                                              std::uint64_t version) const
 {
     const configuration_change entry{version, request.kind, request.name,
                                      request.remove, request.desired};
--- a/src/mustardwick/coordination/group_commit.cpp
+++ b/src/mustardwick/coordination/group_commit.cpp
@@ -37,14 +37,14 @@
 
 /// Sends a transaction until its fate is known or it takes too long.
 ports::commit_result commit_in_series(const ports::table& table,
-                                         const ports::transaction& change)
+                                      const ports::transaction& change)
 {
     const auto until = std::chrono::steady_clock::now() + longest_doubt;
     ports::commit_result out;
     for (int n = 0; n < max_series; ++n)
     {
         out = ports::commit_resolved(table, change, change.puts[0].key,
-                                        sendings_per_series, n > 0);
+                                     sendings_per_series, n > 0);
         const bool is_late = std::chrono::steady_clock::now() >= until;
         if (out.state != commit_state::unknown || is_late)
             break;
--- a/src/mustardwick/coordination/planner.cpp
+++ b/src/mustardwick/coordination/planner.cpp
@@ -391,7 +391,7 @@
                     return false;
             }
             result = ports::commit_resolved(links_.table, change, witness,
-                                               in_doubt_attempts, true);
+                                            in_doubt_attempts, true);
         }
         if (result.state == commit_state::conflict)
         {
--- a/src/mustardwick/coordination/planner_duty.cpp
+++ b/src/mustardwick/coordination/planner_duty.cpp
@@ -10,8 +10,7 @@
 
 using ports::commit_state;
 
-planner_duty::planner_duty(ports::table table,
-                           const member_registry& registry,
+planner_duty::planner_duty(ports::table table, const member_registry& registry,
                            const cluster_view& view)
     : table_(std::move(table)), registry_(registry), view_(view)
 {
--- a/src/mustardwick/coordination/worker_leases_holders.cpp
+++ b/src/mustardwick/coordination/worker_leases_holders.cpp
@@ -90,8 +90,8 @@
     // Peers that keep acting without the table rely on not being fenced.
     if (!dead.empty() && !links_.promises.begin_change())
         return false;
-    const auto result = ports::commit_resolved(
-        links_.table, change, holder_key(group.front().first));
+    const auto result = ports::commit_resolved(links_.table, change,
+                                               holder_key(group.front().first));
     if (!dead.empty())
         links_.promises.end_change(result.state != commit_state::unknown);
     if (result.state == commit_state::unknown)
@@ -147,8 +147,8 @@
     }
     if (change.checks.empty())
         return;
-    const auto result = ports::commit_resolved(links_.table, change,
-                                                  change.checks.front().key);
+    const auto result =
+        ports::commit_resolved(links_.table, change, change.checks.front().key);
     if (result.state == commit_state::committed)
         return forget_hosts(names);
     // Only the rows that changed are no longer this daemon's. The others still
@@ -191,8 +191,8 @@
                 {{holder_key(name), row->version}},
                 {{holder_key(name), to_row(holder_record{})}},
                 {}};
-            const auto result = ports::commit_resolved(links_.table, change,
-                                                          holder_key(name));
+            const auto result =
+                ports::commit_resolved(links_.table, change, holder_key(name));
             if (result.state == commit_state::unknown)
                 return;
         }
--- a/src/mustardwick/daemon/main.cpp
+++ b/src/mustardwick/daemon/main.cpp
@@ -140,7 +140,11 @@
     std::signal(SIGPIPE, SIG_IGN);
     base::set_up_log(settings->name, settings->log_level);
     mustardwick::entry::entry_node node(std::move(*settings));
-    return node.run([path] { return load_hosted_settings(path); })
+    return node.run(
+               [path]
+               {
+                   return load_hosted_settings(path);
+               })
                ? 0
                : exit_failure;
 }
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -120,6 +120,12 @@
     job.specification = std::move(specification);
     job.number = ++next_number_;
     job.arrived = clock_.now();
+    const auto account =
+        configuration_.accounts.find(job.specification.account);
+    if (account != configuration_.accounts.end())
+        job.specification.over_share =
+            !usage_of(account->first)
+                 .share.take(job.arrived, account->second.weight);
     job.replies.emplace_back(std::move(done));
     active_[job.number] = id;
     if (job.specification.occurrences == 0)
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -187,6 +187,7 @@
             .count();
     out.objective_left_ms = objective - age;
     out.late_left_ms = late_factor * objective - age;
+    out.over_share = job.specification.over_share;
     return out;
 }
 
@@ -365,9 +366,9 @@
     const auto now = clock_.now();
     // A search over all hosts is of use only with tickets or a free channel;
     // without, a backlog of thousands of steps would make each round as slow.
-    const bool may_ask =
-        advice_.free > 0 && !state.question_open && state.next_question <= now;
-    if (state.question_open)
+    const bool may_ask = advice_.free > 0 && state.open_questions == 0 &&
+                         state.next_question <= now;
+    if (state.open_questions > 0)
         ++round_.asking;
     return may_ask || state.tickets_until > now + ticket_reserve;
 }
@@ -457,7 +458,7 @@
                          int missing)
 {
     auto& state = step.state();
-    if (state.question_open || state.next_question > clock_.now() ||
+    if (state.open_questions > 0 || state.next_question > clock_.now() ||
         advice_.free == 0)
         return;
     // Hosts that were allowed before need no luck; then those with most room.
@@ -479,21 +480,35 @@
         slots.push_back(it.slots);
     const auto share = allowed_share_[step.queue->name].value();
     const auto n = policy::hosts_to_ask(slots, missing, share);
+    const auto questions = policy::questions_for(n, advice_.free);
+    for (std::size_t it = 0; it < questions; ++it)
+    {
+        // Every question gets hosts of each rank.
+        std::vector<std::string> workers;
+        for (std::size_t host = it; host < n; host += questions)
+            workers.push_back(unknown[host].host->info.id);
+        ask_question(step, std::move(workers));
+    }
+}
+
+void planner::ask_question(const ready_step& step,
+                           std::vector<std::string> workers)
+{
     advice_question question;
     question.job = step.job->specification.id;
     question.occurrence = step.occurrence();
     question.step = step.step;
-    for (std::size_t it = 0; it < n; ++it)
-        question.workers.push_back(unknown[it].host->info.id);
+    const auto n = workers.size();
+    question.workers = std::move(workers);
     question.expected_ms =
         std::int64_t(step.queue->advice->base_ms +
                      step.queue->advice->per_host_ms * double(n));
-    if (question.is_long() && advice_.free_for_long == 0)
+    if (advice_.free == 0 || (question.is_long() && advice_.free_for_long == 0))
         return;
     --advice_.free;
     if (question.is_long())
         --advice_.free_for_long;
-    state.question_open = true;
+    ++step.state().open_questions;
     metrics_.add("mustardwick_advice_questions_total");
     metrics_.add("mustardwick_advice_hosts_total", n);
     outbox_.questions.push_back(std::move(question));
@@ -508,7 +523,7 @@
         find_step({question.job, question.occurrence, question.step, 0});
     if (job == nullptr || state == nullptr)
         return;
-    state->question_open = false;
+    --state->open_questions;
     placement_due_ = true;
     if (!allowed)
     {
--- a/src/mustardwick/operators/operator_api_test.cpp
+++ b/src/mustardwick/operators/operator_api_test.cpp
@@ -35,7 +35,7 @@
     }
 
     std::optional<ports::row_page> scan(std::string_view prefix,
-                                           std::string_view after)
+                                        std::string_view after)
     {
         if (prefix == prefix_ && action_)
             std::exchange(action_, nullptr)();
@@ -66,9 +66,8 @@
     interrupted_table table;
     base::manual_clock clock;
     coordination::promise_book promises{clock};
-    coordination::config_store config{ports::table(table), clock,
-                                      std::chrono::milliseconds{3000},
-                                      promises};
+    coordination::config_store config{
+        ports::table(table), clock, std::chrono::milliseconds{3000}, promises};
     base::time_line events{clock, "entry-1"};
     operators::operator_api api{{config, events,
                                  [](auto, const auto&)
--- a/testing/model/model_table.hpp
+++ b/testing/model/model_table.hpp
@@ -20,7 +20,7 @@
     }
 
     std::optional<ports::row_page> scan(std::string_view prefix,
-                                           std::string_view after)
+                                        std::string_view after)
     {
         return table_.scan(prefix, after);
     }
--- a/testing/model/model_workers.cpp
+++ b/testing/model/model_workers.cpp
@@ -67,8 +67,7 @@
 
 std::optional<ports::task_orders_result>
 model_workers::order(const ports::worker_address& worker,
-                     const std::string& lease,
-                     const ports::task_orders& orders)
+                     const std::string& lease, const ports::task_orders& orders)
 {
     if (!reaches(worker.name))
         return no_answer();
@@ -83,9 +82,8 @@
     return out;
 }
 
-wire::forward_answer
-model_workers::request(const ports::worker_address& worker,
-                       const ports::target_request& call)
+wire::forward_answer model_workers::request(const ports::worker_address& worker,
+                                            const ports::target_request& call)
 {
     if (!reaches(worker.name))
         return coordination::unknown_answer("the worker does not answer");
--- a/testing/model/model_workers.hpp
+++ b/testing/model/model_workers.hpp
@@ -19,9 +19,9 @@
     {
     }
 
-    std::optional<ports::lease_state>
-    open(const ports::worker_address& worker, const std::string& holder,
-         std::chrono::milliseconds ttl);
+    std::optional<ports::lease_state> open(const ports::worker_address& worker,
+                                           const std::string& holder,
+                                           std::chrono::milliseconds ttl);
     std::optional<ports::lease_state>
     renew(const ports::worker_address& worker, const std::string& lease,
           std::chrono::milliseconds ttl, const std::vector<std::string>& ended);
--- a/testing/standin/fake_table.cpp
+++ b/testing/standin/fake_table.cpp
@@ -26,7 +26,7 @@
 }
 
 std::optional<ports::row_page> fake_table::scan(std::string_view prefix,
-                                                   std::string_view after)
+                                                std::string_view after)
 {
     if (down_)
         return fail_unreachable();
--- a/testing/standin/fake_table.hpp
+++ b/testing/standin/fake_table.hpp
@@ -39,7 +39,7 @@
 
     std::optional<ports::row> read(std::string_view key);
     std::optional<ports::row_page> scan(std::string_view prefix,
-                                           std::string_view after);
+                                        std::string_view after);
     ports::commit_result commit(const ports::transaction& change);
 
 private:
--- a/testing/standin/table_state.cpp
+++ b/testing/standin/table_state.cpp
@@ -58,7 +58,7 @@
 }
 
 ports::row_page table_state::scan(std::string_view prefix,
-                                     std::string_view after, std::size_t limit)
+                                  std::string_view after, std::size_t limit)
 {
     const std::scoped_lock lock(mutex_);
     ++statistics_.reads;
--- a/testing/standin/table_state.hpp
+++ b/testing/standin/table_state.hpp
@@ -36,7 +36,7 @@
 
     /// @brief Reads rows whose keys have the prefix, in key order.
     ports::row_page scan(std::string_view prefix, std::string_view after,
-                            std::size_t limit = default_page_rows);
+                         std::size_t limit = default_page_rows);
 
     table_statistics statistics() const;
 
--- a/testing/standin/worker_codec.cpp
+++ b/testing/standin/worker_codec.cpp
@@ -33,7 +33,7 @@
 } // namespace
 
 ports::task_orders parse_orders(base::object_reader& reader,
-                                   std::vector<std::string>& errors)
+                                std::vector<std::string>& errors)
 {
     ports::task_orders out;
     out.stops = reader.texts("stops");
--- a/testing/standin/worker_codec.hpp
+++ b/testing/standin/worker_codec.hpp
@@ -14,7 +14,7 @@
 
 /// @brief Reads the starts and stops of an orders call.
 ports::task_orders parse_orders(base::object_reader& reader,
-                                   std::vector<std::string>& errors);
+                                std::vector<std::string>& errors);
 
 web::json::value to_json(const std::vector<wire::attempt_report>& ended);
 const char* name_of(ports::attempt_state state);
--- a/testing/standin/worker_state.cpp
+++ b/testing/standin/worker_state.cpp
@@ -116,7 +116,7 @@
 }
 
 ports::lease_state worker_state::open(const std::string& holder,
-                                         std::chrono::milliseconds ttl)
+                                      std::chrono::milliseconds ttl)
 {
     const std::scoped_lock lock(mutex_);
     advance_locked();
@@ -159,8 +159,7 @@
 }
 
 std::optional<ports::task_orders_result>
-worker_state::order(const std::string& lease,
-                    const ports::task_orders& orders)
+worker_state::order(const std::string& lease, const ports::task_orders& orders)
 {
     const std::scoped_lock lock(mutex_);
     advance_locked();
@@ -279,7 +278,7 @@
 }
 
 ports::attempt_answer worker_state::attempt(const std::string& lease,
-                                               const std::string& id)
+                                            const std::string& id)
 {
     const std::scoped_lock lock(mutex_);
     const auto it = requests_.find(id);
--- a/testing/standin/worker_state.hpp
+++ b/testing/standin/worker_state.hpp
@@ -61,7 +61,7 @@
 
     /// @brief Opens a lease and closes the former one; tasks continue.
     ports::lease_state open(const std::string& holder,
-                               std::chrono::milliseconds ttl);
+                            std::chrono::milliseconds ttl);
 
     /// @brief Renews a lease; nothing when it is closed or has lapsed.
     std::optional<ports::lease_state>
@@ -88,7 +88,7 @@
     ///
     /// Unknown when this worker did not issue the lease, as after a restart.
     ports::attempt_answer attempt(const std::string& lease,
-                                     const std::string& id);
+                                  const std::string& id);
 
     /// @brief Ends tasks whose time is over and lapses the lease.
     void advance();
