Hand the duty to a large host sooner and hold hosts for wide steps

Change: largest member first, failing for 0.7 s, transaction timeouts that follow the usual time, takeover 0.8 s after silence; other steps use held hosts last; ends and counts fixed, each with a test that failed before.

--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -74,6 +74,9 @@
     policy::resources used;
     /// Failed runs since the last one that finished.
     int failures_in_a_row = 0;
+    /// An all-at-once step asks about this host; others go elsewhere first.
+    std::string held_for;
+    base::steady_time held_until;
     /// No new work before this time.
     base::steady_time avoid_until;
 
--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -76,6 +76,8 @@
     bool specification_stored = false;
     /// The rows exist in the store.
     bool durable = false;
+    /// A worker has had one of its tasks under way.
+    bool begun = false;
     bool dirty = false;
     job_context context;
     /// Expected run time of the steps that are left; negative when not known.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -182,6 +182,7 @@
     void compare_with_report(host_state& host,
                              const jobs::worker_report& report);
     void note_listed_run(host_state& host, const jobs::running_run& listed);
+    void note_begun(const std::string& id);
     bool is_gone(const running& it, std::int64_t clock_ms) const;
     std::int64_t estimated_clock(const host_state& host) const;
     void note_clock(host_state& host, std::int64_t clock_ms);
@@ -202,6 +203,7 @@
     policy::waiting_step outlook_inputs(job_run& job);
     void assign(const ready_step& step, int index, int run,
                 const candidate& where);
+    void hold_hosts(const advice_question& question);
     void ask_question(const ready_step& step, std::vector<std::string> workers);
     void ask_advice(const ready_step& step, std::vector<candidate> unknown,
                     int missing);
--- a/include/mustardwick/entry/member_beats.hpp
+++ b/include/mustardwick/entry/member_beats.hpp
@@ -54,12 +54,11 @@
     /// take over; none without members.
     std::optional<base::steady_time> confirmed() const;
 
-    /// @brief A member that the store answered after the given time.
+    /// @brief The member on the largest host above a capacity that the store
+    /// answered after the given time.
     std::optional<member_record>
-    member_with_store(base::steady_time after) const;
-
-    /// @brief A reachable member on a larger host that the store answers.
-    std::optional<member_record> larger_member(double capacity) const;
+    largest_with_store(base::steady_time after,
+                       double above_capacity = 0) const;
 
     /// @brief Members that answered lately.
     std::vector<member_record> reachable() const;
--- a/include/mustardwick/entry/state_log.hpp
+++ b/include/mustardwick/entry/state_log.hpp
@@ -77,6 +77,8 @@
     done_handler done_;
     base::steady_time confirmed_;
     base::steady_time began_;
+    base::steady_time sent_;
+    std::chrono::milliseconds timeout_{350};
     std::optional<base::steady_time> failing_since_;
     bool busy_ = false;
     bool stopped_ = false;
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -163,6 +163,8 @@
                  ++index)
             {
                 const auto& task = open.tasks[step][index];
+                job.begun = job.begun || task.failures > 0 ||
+                            task.state == jobs::task_state::done;
                 if (task.state != jobs::task_state::assigned)
                     continue;
                 auto& host = hosts_[task.worker];
@@ -210,8 +212,7 @@
     for (const auto& [number, id] : active_)
     {
         const auto& job = jobs_.at(id);
-        if (job.specification.queue == queue &&
-            job.record.state == jobs::job_state::queued)
+        if (job.specification.queue == queue && !job.begun)
             ++n;
     }
     return n;
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -23,6 +23,8 @@
 /// A ticket is not used in the last part of its life, because the assignment
 /// has to become durable and the order has to arrive first.
 constexpr milliseconds ticket_reserve{250};
+/// Time from an answer's arrival to the placement that it allows.
+constexpr milliseconds answer_to_placement{150};
 /// Pause after a question that was not answered.
 constexpr milliseconds question_retry{150};
 
@@ -93,6 +95,8 @@
     std::string ticket;
     base::steady_time ticket_expires = base::steady_time::max();
     bool near_data = false;
+    /// Held for the answer to another step's question.
+    bool is_held = false;
 };
 
 struct planner::ready_step
@@ -332,6 +336,8 @@
         if (it.slots == 0 || state.denied.contains(id))
             continue;
         it.host = host;
+        it.is_held = host->held_until > now &&
+                     host->held_for != step.job->specification.id;
         it.near_data = step.spec().preferred_rack.empty() ||
                        step.spec().preferred_rack == host->info.rack;
         if (step.queue->advice)
@@ -354,6 +360,8 @@
                      {
                          if (left.near_data != right.near_data)
                              return left.near_data;
+                         if (left.is_held != right.is_held)
+                             return right.is_held;
                          return left.host->free().millicpus <
                                 right.host->free().millicpus;
                      });
@@ -473,6 +481,8 @@
                              return left_known;
                          if (left.near_data != right.near_data)
                              return left.near_data;
+                         if (left.is_held != right.is_held)
+                             return right.is_held;
                          return left.slots > right.slots;
                      });
     std::vector<int> slots;
@@ -491,6 +501,18 @@
     }
 }
 
+void planner::hold_hosts(const advice_question& question)
+{
+    const auto until =
+        clock_.now() + milliseconds(question.expected_ms) + answer_to_placement;
+    for (const auto& id : question.workers)
+    {
+        auto& host = hosts_.at(id);
+        host.held_for = question.job;
+        host.held_until = until;
+    }
+}
+
 void planner::ask_question(const ready_step& step,
                            std::vector<std::string> workers)
 {
@@ -509,6 +531,8 @@
     if (question.is_long())
         --advice_.free_for_long;
     ++step.state().open_questions;
+    if (step.spec().all_at_once)
+        hold_hosts(question);
     metrics_.add("mustardwick_advice_questions_total");
     metrics_.add("mustardwick_advice_hosts_total", n);
     outbox_.questions.push_back(std::move(question));
@@ -554,7 +578,12 @@
     allowed_share_[queue->first].note(news, granted);
     for (const auto& id : question.workers)
         if (!state->tickets.contains(id))
+        {
             state->denied.insert(id);
+            const auto host = hosts_.find(id);
+            if (host != hosts_.end() && host->second.held_for == question.job)
+                host->second.held_until = {};
+        }
 }
 
 } // namespace mustardwick::dispatch
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -70,6 +70,12 @@
     return nullptr;
 }
 
+void planner::note_begun(const std::string& id)
+{
+    if (auto* job = find_job(id))
+        job->begun = true;
+}
+
 std::int64_t planner::estimated_clock(const host_state& host) const
 {
     const auto passed = std::chrono::duration_cast<milliseconds>(
@@ -244,6 +250,11 @@
     if (job == nullptr || record == nullptr || record->run != end.run ||
         record->state == jobs::task_state::done)
         return;
+    // A former leader may have applied the end and died before the worker
+    // heard of it; only completed work counts then.
+    if (record->state == jobs::task_state::waiting &&
+        end.how != jobs::run_end::done)
+        return;
     host.undurable_ends.insert(end.number);
     job->ends.push_back({host.info.id, host.born_ms, end.number});
     mark_dirty(*job);
@@ -385,6 +396,7 @@
     {
         run.phase = run_phase::started;
         run.started = clock_.now();
+        note_begun(listed.task.job);
     }
     if (run.phase == run_phase::stopping &&
         clock_.now() - run.stop_sent > stop_resend_interval)
@@ -450,6 +462,7 @@
     {
         metrics_.add("mustardwick_starts_total");
         it->second.started_clock_ms = reply.clock_ms;
+        note_begun(order.task.job);
         it->second.started = clock_.now();
         if (it->second.phase == run_phase::ordered)
             it->second.phase = run_phase::started;
--- a/src/mustardwick/dispatch/planner_test.cpp
+++ b/src/mustardwick/dispatch/planner_test.cpp
@@ -289,6 +289,48 @@
     }
 }
 
+// Guards against an end that is applied again after a change of leaders: the
+// former one had stored it, and the worker still lists it (hunt-bafb-19: a job
+// failed for good after one failure).
+Test(planner, applies_an_end_once_over_leaders)
+{
+    for (const auto how : {jobs::run_end::failed, jobs::run_end::done})
+    {
+        planner_fixture cell(1);
+        jobs::job_record record;
+        record.state = jobs::job_state::running;
+        record.occurrences_opened = 1;
+        jobs::task_record task;
+        task.run = 1;
+        task.failures = 1;
+        record.open.push_back({0, {{task}}});
+        cell.plan.restore(make_job("j", "plain", {make_step(1, 1)}), record);
+        cell.report("w0", {}, {{1, {"j", 0, 0, 0}, 1, how, ""}});
+        cell.commit();
+        const bool done = how == jobs::run_end::done;
+        cr_assert_eq(cell.plan.state_of("j"), done ? jobs::job_state::completed
+                                                   : jobs::job_state::running);
+        cr_assert_eq(cell.round().starts.empty(), done);
+    }
+}
+
+// Guards against a count of waiting jobs that leaves out those whose orders
+// were refused (hunt-bafb-3: one of seven was counted).
+Test(planner, counts_jobs_as_waiting_until_a_task_has_begun)
+{
+    for (const bool accepted : {false, true})
+    {
+        planner_fixture cell(1);
+        cell.submit(make_job("j", "plain", {make_step(1, 1)}));
+        const auto order = cell.round().starts.at(0);
+        cr_assert_eq(cell.plan.waiting_jobs("plain"), 1);
+        const auto result = accepted ? jobs::order_result::accepted
+                                     : jobs::order_result::bad_ticket;
+        cell.plan.start_answered(order, {result, cell.worker_clock()});
+        cr_assert_eq(cell.plan.waiting_jobs("plain"), accepted ? 0 : 1);
+    }
+}
+
 // Guards against runs of a former life of a worker that are waited for.
 Test(planner, requeues_runs_of_a_former_life)
 {
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -19,7 +19,7 @@
 using std::chrono::milliseconds;
 
 /// An unused duty is confirmed in the store this often.
-constexpr milliseconds renewal_interval{400};
+constexpr milliseconds renewal_interval{250};
 /// Time between two looks at the registry; a draining worker has to be known
 /// within 2 s.
 constexpr milliseconds registry_interval{350};
@@ -30,8 +30,11 @@
 constexpr milliseconds duty_check_interval{100};
 /// The store fails for this daemon alone when a member gets answers this long
 /// after its failures began.
-constexpr milliseconds failing_before_hand_over{1200};
+constexpr milliseconds failing_before_hand_over{700};
 constexpr milliseconds newer_answer_margin{300};
+/// A member that the store answered within this time can take the duty; its
+/// watch of the configuration is answered once a second.
+constexpr milliseconds recent_store_answer{1500};
 /// A small host that leads looks for a larger one after this time.
 constexpr milliseconds time_before_handing_up{1500};
 constexpr milliseconds status_interval{1000};
@@ -388,10 +391,10 @@
         planner_.commit_done();
     if (releasing_)
     {
-        const auto members = beats_->reachable();
         auto successor = successor_;
-        if (!successor && !members.empty())
-            successor = members.front();
+        if (!successor)
+            successor = beats_->largest_with_store(env_.clock.now() -
+                                                   recent_store_answer);
         return step_down("the duty was given up", successor);
     }
     work();
@@ -416,12 +419,13 @@
     const auto failing = log_->failing_since();
     if (failing && env_.clock.now() - *failing > failing_before_hand_over)
         if (const auto member =
-                beats_->member_with_store(*failing + newer_answer_margin))
+                beats_->largest_with_store(*failing + newer_answer_margin))
             return step_down("the store answers another member", member);
     const bool settled =
         loaded_ && env_.clock.now() - started_ > time_before_handing_up;
     if (settled && !releasing_ && env_.options.capacity < small_host_capacity)
-        if (const auto member = beats_->larger_member(env_.options.capacity))
+        if (const auto member = beats_->largest_with_store(
+                env_.clock.now() - recent_store_answer, env_.options.capacity))
         {
             successor_ = member;
             release();
--- a/src/mustardwick/entry/duty_seeker.cpp
+++ b/src/mustardwick/entry/duty_seeker.cpp
@@ -17,14 +17,17 @@
 using base::log_level;
 using std::chrono::milliseconds;
 
-constexpr milliseconds tick_interval{100};
-/// Three beats without a sign of life.
-constexpr milliseconds silence_limit{1000};
+constexpr milliseconds tick_interval{50};
+/// The head row is watched after two missing beats.
+constexpr milliseconds watch_after{400};
+/// Four beats without a sign of life.
+constexpr milliseconds silence_limit{800};
 constexpr milliseconds read_interval{200};
 constexpr milliseconds read_timeout{800};
 constexpr milliseconds acquire_timeout{1000};
-/// A leader renews the row every 400 ms.
-constexpr milliseconds takeover_after{1000};
+/// A leader renews the row every 250 ms, and every 700 ms while the store is
+/// slow.
+constexpr milliseconds takeover_after{800};
 /// Small hosts let larger ones go first, since the leader works most.
 constexpr milliseconds small_host_delay{500};
 
@@ -94,7 +97,7 @@
     if (stopped_)
         return;
     const auto now = clock_.now();
-    if (!paused_ && !call_open_ && now - last_heard_ >= silence_limit &&
+    if (!paused_ && !call_open_ && now - last_heard_ >= watch_after &&
         now >= next_read_)
         read_head();
     timer_.expires_after(tick_interval);
@@ -155,7 +158,7 @@
     }
     const auto wait =
         takeover_after + (is_small() ? small_host_delay : milliseconds(0));
-    if (now - observed_since_ >= wait)
+    if (now - observed_since_ >= wait && now - last_heard_ >= silence_limit)
         acquire(head->epoch + 1, it->version);
 }
 
--- a/src/mustardwick/entry/member_beats.cpp
+++ b/src/mustardwick/entry/member_beats.cpp
@@ -13,8 +13,8 @@
 
 using std::chrono::milliseconds;
 
-/// A third of the silence after which members look for another leader.
-constexpr milliseconds beat_interval{300};
+/// A quarter of the silence after which members look for another leader.
+constexpr milliseconds beat_interval{200};
 constexpr milliseconds beat_timeout{700};
 /// A member that does not answer is tried less often.
 constexpr milliseconds slow_interval{1500};
@@ -144,22 +144,18 @@
 }
 
 std::optional<member_record>
-member_beats::member_with_store(base::steady_time after) const
+member_beats::largest_with_store(base::steady_time after,
+                                 double above_capacity) const
 {
+    std::optional<member_record> out;
     for (const auto& [name, it] : members_)
-        if (is_recent(it) && !it.leaving && it.store_answered > after)
-            return it.record;
-    return std::nullopt;
-}
-
-std::optional<member_record> member_beats::larger_member(double capacity) const
-{
-    const auto now = clock_.now();
-    for (const auto& [name, it] : members_)
-        if (is_recent(it) && !it.leaving && it.record.capacity > capacity &&
-            it.store_answered + reachable_window > now)
-            return it.record;
-    return std::nullopt;
+    {
+        const bool larger =
+            it.record.capacity > (out ? out->capacity : above_capacity);
+        if (is_recent(it) && !it.leaving && it.store_answered > after && larger)
+            out = it.record;
+    }
+    return out;
 }
 
 std::vector<member_record> member_beats::reachable() const
--- a/src/mustardwick/entry/state_log.cpp
+++ b/src/mustardwick/entry/state_log.cpp
@@ -16,8 +16,11 @@
 using std::chrono::milliseconds;
 
 /// A transaction takes 6 ms and up to 70 times as long while the store is
-/// slow.
-constexpr milliseconds commit_timeout{1000};
+/// slow. The timeout doubles with each one that is missed; sending a
+/// transaction again is harmless.
+constexpr milliseconds first_timeout{350};
+constexpr milliseconds max_timeout{1500};
+constexpr int usual_times_allowed = 6;
 constexpr milliseconds refused_pause{60};
 constexpr milliseconds unknown_pause{5};
 
@@ -68,7 +71,8 @@
     if (stopped_)
         return;
     const auto sent = clock_.now();
-    store_.commit(current_, commit_timeout,
+    sent_ = sent;
+    store_.commit(current_, timeout_,
                   [self = shared_from_this(), sent](durable::store_reply reply)
                   {
                       if (!self->stopped_)
@@ -108,6 +112,8 @@
         base::log_event(base::log_level::warning, "state_log", "store_failing",
                         {{"reason", reply.reason}});
     }
+    if (reply.end == store_end::unknown)
+        timeout_ = std::min(timeout_ * 2, max_timeout);
     resend_after(reply.end == store_end::refused ? refused_pause
                                                  : unknown_pause);
 }
@@ -131,6 +137,10 @@
     busy_ = false;
     const std::chrono::duration<double> took = clock_.now() - began_;
     metrics_.observe("mustardwick_commit_seconds", took.count());
+    const auto usual =
+        std::chrono::duration_cast<milliseconds>(clock_.now() - sent_);
+    timeout_ =
+        std::clamp(usual * usual_times_allowed, first_timeout, max_timeout);
     const auto done = std::move(done_);
     done(result);
 }
