Refuse new jobs at once while the store does not answer

Change: after 0.6 s of failing transactions new jobs are refused with a pause that grows with the outage; a step avoids workers that failed it, and a worker with two failures in a row gets one task at a time. The leader's calls and loading are files of their own.

--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -29,6 +29,8 @@
     std::map<std::string, held_ticket, std::less<>> tickets;
     /// Workers that the policy does not allow; this never changes for a step.
     std::set<std::string, std::less<>> denied;
+    /// Workers on which a task of the step failed.
+    std::set<std::string, std::less<>> failed_on;
     /// When the last of the tickets expires.
     base::steady_time tickets_until;
     /// Questions that are not answered yet.
--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -82,6 +82,9 @@
     void step_down(std::string_view reason,
                    std::optional<member_record> successor);
     bool has_authority() const;
+    /// How long refused callers should stay away; none while the store
+    /// answers.
+    std::optional<std::chrono::milliseconds> store_pause() const;
 
     environment env_;
     head_record head_;
--- a/include/mustardwick/entry/messages.hpp
+++ b/include/mustardwick/entry/messages.hpp
@@ -103,7 +103,10 @@
     /// The job is not known.
     unknown_job,
     /// The daemon is not the leader, or has not loaded the state yet.
-    not_leader
+    not_leader,
+    /// The store does not answer the leader; the job was not taken and never
+    /// runs.
+    store_unavailable
 };
 
 struct job_query
@@ -134,11 +137,13 @@
     reply_status status = reply_status::not_leader;
     jobs::job_state state = jobs::job_state::queued;
     std::uint64_t waiting = 0;
+    /// When a refused caller should come back.
+    std::int64_t retry_after_ms = 0;
 
     template <typename Archive>
     void serialize(Archive& ar)
     {
-        ar(status, state, waiting);
+        ar(status, state, waiting, retry_after_ms);
     }
 };
 
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -14,6 +14,8 @@
 using base::log_level;
 using std::chrono::milliseconds;
 
+/// Failures in a row after which a host has to prove itself.
+constexpr int failures_before_probation = 2;
 /// Run time that is assumed where a job names none.
 constexpr std::int64_t default_estimate_ms = 1000;
 /// A completion is worth something up to this many times the objective.
@@ -296,6 +298,10 @@
     int n = units_in(host.free(), size, step.waiting);
     if (n == 0)
         return 0;
+    // A host that failed its last runs gets one task at a time until one is
+    // done.
+    if (host.failures_in_a_row >= failures_before_probation)
+        n = host.runs.empty() ? 1 : 0;
     const auto& labels = host.info.labels;
     if (!spec.required_label.empty() &&
         std::find(labels.begin(), labels.end(), spec.required_label) ==
@@ -333,7 +339,8 @@
         candidate it;
         it.slots = slots_on(*host, step);
         const auto& id = host->info.id;
-        if (it.slots == 0 || state.denied.contains(id))
+        if (it.slots == 0 || state.denied.contains(id) ||
+            state.failed_on.contains(id))
             continue;
         it.host = host;
         it.is_held = host->held_until > now &&
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -262,7 +262,11 @@
     if (end.how == jobs::run_end::done && !step.long_running)
         return task_done(*job, end.task);
     if (failed)
+    {
+        if (auto* state = find_step(end.task))
+            state->failed_on.insert(host.info.id);
         task_failed(*job, end.task, end.run);
+    }
     requeue(end.task, end.run, end.checkpoint);
 }
 
--- a/src/mustardwick/dispatch/planner_test.cpp
+++ b/src/mustardwick/dispatch/planner_test.cpp
@@ -331,6 +331,16 @@
     }
 }
 
+// Guards against a step that spends its attempts on one failing worker.
+Test(planner, retries_on_another_worker)
+{
+    planner_fixture cell(2);
+    cell.submit(make_job("j", "plain", {make_step(1, 1)}));
+    const auto order = cell.run_round().starts.at(0);
+    cell.end(order, 1, jobs::run_end::failed);
+    cr_assert_neq(cell.round().starts.at(0).worker, order.worker);
+}
+
 // Guards against runs of a former life of a worker that are waited for.
 Test(planner, requeues_runs_of_a_former_life)
 {
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -20,11 +20,6 @@
 
 /// An unused duty is confirmed in the store this often.
 constexpr milliseconds renewal_interval{250};
-/// Time between two looks at the registry; a draining worker has to be known
-/// within 2 s.
-constexpr milliseconds registry_interval{350};
-constexpr milliseconds read_timeout{1000};
-constexpr milliseconds read_retry{120};
 /// Orders wait this long for others, so that they share a transaction.
 constexpr milliseconds work_delay{4};
 constexpr milliseconds duty_check_interval{100};
@@ -38,7 +33,6 @@
 /// A small host that leads looks for a larger one after this time.
 constexpr milliseconds time_before_handing_up{1500};
 constexpr milliseconds status_interval{1000};
-constexpr int page_rows = 500;
 /// The store takes 100 entries and 1 MB a transaction; the head row is one,
 /// and base64 enlarges values by a third.
 constexpr std::size_t max_rows_per_commit = 96;
@@ -54,11 +48,6 @@
     return out;
 }
 
-std::string answer(const job_reply& reply)
-{
-    return wire::encode(reply);
-}
-
 } // namespace
 
 cell_leader::cell_leader(environment env, head_record head,
@@ -168,160 +157,6 @@
     return env_.clock.now() - confirmed < options.former_authority;
 }
 
-void cell_leader::load_members()
-{
-    env_.store.read(cell_table, member_partition, "", page_rows, read_timeout,
-                    [self = shared_from_this()](durable::store_reply reply)
-                    {
-                        if (self->stopped_)
-                            return;
-                        if (!reply.ok())
-                            // Members also join by themselves; the rows only
-                            // speed it up.
-                            return log_event(log_level::warning, "leader",
-                                             "members_not_read",
-                                             {{"reason", reply.reason}});
-                        for (const auto& it : reply.rows)
-                            if (const auto record =
-                                    wire::decode<member_record>(it.value))
-                                self->beats_->add(*record);
-                    });
-}
-
-void cell_leader::load_table(const std::string& table, const std::string& from)
-{
-    env_.store.read(
-        table, plan_partition, from, page_rows, read_timeout,
-        [self = shared_from_this(), table, from](durable::store_reply reply)
-        {
-            if (self->stopped_)
-                return;
-            if (!reply.ok())
-            {
-                self->registry_timer_.expires_after(read_retry);
-                self->registry_timer_.async_wait(
-                    [self, table, from](boost::system::error_code ec)
-                    {
-                        if (!ec)
-                            self->load_table(table, from);
-                    });
-                return;
-            }
-            for (const auto& it : reply.rows)
-            {
-                auto& job = self->stored_[it.address.key];
-                if (table == job_table)
-                    job.specification = wire::decode<jobs::job>(it.value);
-                else
-                    job.record = wire::decode<jobs::job_record>(it.value);
-            }
-            if (reply.has_more && !reply.rows.empty())
-                // The next key in byte order.
-                self->load_table(table, reply.rows.back().address.key + '\0');
-            else if (table == job_table)
-                self->load_table(progress_table, "");
-            else
-                self->loaded();
-        });
-}
-
-void cell_leader::loaded()
-{
-    std::size_t active = 0;
-    for (auto& [id, it] : stored_)
-    {
-        if (!it.specification || !it.record)
-        {
-            log_event(log_level::error, "leader", "job_rows_incomplete",
-                      {{"job", id}});
-            continue;
-        }
-        active += is_final(it.record->state) ? 0 : 1;
-        planner_.restore(std::move(*it.specification), std::move(*it.record));
-    }
-    log_event(
-        log_level::info, "leader", "state_loaded",
-        {{"jobs", stored_.size()}, {"active", active}, {"epoch", head_.epoch}});
-    stored_.clear();
-    loaded_ = true;
-    poll_registry(true);
-}
-
-void cell_leader::poll_registry(bool whole)
-{
-    if (stopped_)
-        return;
-    const auto done =
-        [self = shared_from_this(), whole](durable::store_reply reply)
-    {
-        if (self->stopped_)
-            return;
-        if (reply.end == durable::store_end::history_gone)
-            return self->poll_registry(true);
-        const bool whole_next = whole && !reply.ok();
-        if (reply.ok())
-        {
-            self->registry_version_ =
-                std::max(self->registry_version_, reply.version);
-            self->apply_registry(reply.rows, whole);
-        }
-        self->registry_timer_.expires_after(whole_next ? read_retry
-                                                       : registry_interval);
-        self->registry_timer_.async_wait(
-            [self, whole_next](boost::system::error_code ec)
-            {
-                if (!ec)
-                    self->poll_registry(whole_next);
-            });
-    };
-    if (whole)
-        env_.store.read(platform::worker_table, "", "", page_rows, read_timeout,
-                        done);
-    else
-        env_.store.changes(platform::worker_table, registry_version_,
-                           milliseconds(0), read_timeout, done);
-}
-
-void cell_leader::apply_registry(const std::vector<durable::row>& rows,
-                                 bool whole)
-{
-    std::set<std::string> seen;
-    for (const auto& it : rows)
-    {
-        const auto& id = it.address.key;
-        std::optional<jobs::worker_info> info;
-        if (!it.deleted)
-        {
-            info = platform::decode_worker(id, it.value);
-            if (!info)
-                log_event(
-                    log_level::warning, "registry", "entry_refused",
-                    {{"worker", id}, {"reason", base::last_error().text()}});
-        }
-        if (info)
-        {
-            seen.insert(id);
-            known_workers_.insert(id);
-            planner_.worker_listed(*info);
-            workers_->listed(*info);
-        }
-        else if (known_workers_.erase(id) > 0)
-        {
-            planner_.worker_unlisted(id);
-            workers_->unlisted(id);
-        }
-    }
-    if (whole)
-        for (const auto& id : std::set<std::string>(known_workers_))
-            if (!seen.contains(id))
-            {
-                known_workers_.erase(id);
-                planner_.worker_unlisted(id);
-                workers_->unlisted(id);
-            }
-    schedule_work();
-}
-
 void cell_leader::schedule_work()
 {
     if (work_scheduled_ || stopped_)
@@ -470,56 +305,4 @@
     lost_(std::move(successor));
 }
 
-bool cell_leader::handle(wire::message_type type, const std::string& payload,
-                         const aio::peer_responder& respond)
-{
-    using wire::message_type;
-    if (!loaded_ || releasing_ || !has_authority())
-        return false;
-    if (type == message_type::submit_job)
-    {
-        auto job = wire::decode<jobs::job>(payload);
-        if (!job)
-            return false;
-        planner_.submit(std::move(*job),
-                        [respond]
-                        {
-                            respond(answer({reply_status::done, {}, 0}));
-                        });
-        schedule_work();
-        return true;
-    }
-    if (type == message_type::count_waiting)
-    {
-        const auto query = wire::decode<queue_query>(payload);
-        if (!query)
-            return false;
-        respond(answer(
-            {reply_status::done, {}, planner_.waiting_jobs(query->queue)}));
-        return true;
-    }
-    const auto query = wire::decode<job_query>(payload);
-    if (!query)
-        return false;
-    if (type == message_type::cancel_job)
-    {
-        planner_.cancel(query->id,
-                        [respond](dispatch::cancel_result result)
-                        {
-                            const bool known =
-                                result == dispatch::cancel_result::cancelled;
-                            respond(answer({known ? reply_status::done
-                                                  : reply_status::unknown_job,
-                                            {},
-                                            0}));
-                        });
-        schedule_work();
-        return true;
-    }
-    const auto state = planner_.state_of(query->id);
-    respond(answer({state ? reply_status::done : reply_status::unknown_job,
-                    state.value_or(jobs::job_state::queued), 0}));
-    return true;
-}
-
 } // namespace mustardwick::entry
--- /dev/null
+++ b/src/mustardwick/entry/cell_leader_calls.cpp
@@ -0,0 +1,101 @@
+#include "mustardwick/entry/cell_leader.hpp"
+
+#include <algorithm>
+
+#include "mustardwick/wire/codec.hpp"
+
+namespace mustardwick::entry
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// New jobs are refused once transactions have failed for this long; a single
+/// lost answer is resolved sooner.
+constexpr milliseconds failing_before_refusal{600};
+constexpr milliseconds shortest_pause{1000};
+constexpr milliseconds longest_pause{4000};
+
+std::string answer(const job_reply& reply)
+{
+    return wire::encode(reply);
+}
+
+} // namespace
+
+std::optional<milliseconds> cell_leader::store_pause() const
+{
+    const auto failing = log_->failing_since();
+    if (!failing)
+        return std::nullopt;
+    const auto lasted =
+        std::chrono::duration_cast<milliseconds>(env_.clock.now() - *failing);
+    if (lasted < failing_before_refusal)
+        return std::nullopt;
+    // An outage that has lasted for a time is likely to last as long again.
+    return std::clamp(lasted, shortest_pause, longest_pause);
+}
+
+bool cell_leader::handle(wire::message_type type, const std::string& payload,
+                         const aio::peer_responder& respond)
+{
+    using wire::message_type;
+    if (!loaded_ || releasing_ || !has_authority())
+        return false;
+    if (type == message_type::submit_job)
+    {
+        auto job = wire::decode<jobs::job>(payload);
+        if (!job)
+            return false;
+        if (const auto pause = store_pause();
+            pause && !planner_.state_of(job->id))
+        {
+            job_reply out{reply_status::store_unavailable};
+            out.retry_after_ms = pause->count();
+            respond(answer(out));
+            return true;
+        }
+        planner_.submit(std::move(*job),
+                        [respond]
+                        {
+                            respond(answer({reply_status::done}));
+                        });
+        schedule_work();
+        return true;
+    }
+    if (type == message_type::count_waiting)
+    {
+        const auto query = wire::decode<queue_query>(payload);
+        if (!query)
+            return false;
+        job_reply out{reply_status::done};
+        out.waiting = planner_.waiting_jobs(query->queue);
+        respond(answer(out));
+        return true;
+    }
+    const auto query = wire::decode<job_query>(payload);
+    if (!query)
+        return false;
+    if (type == message_type::cancel_job)
+    {
+        planner_.cancel(
+            query->id,
+            [respond](dispatch::cancel_result result)
+            {
+                const bool known = result == dispatch::cancel_result::cancelled;
+                respond(answer(
+                    {known ? reply_status::done : reply_status::unknown_job}));
+            });
+        schedule_work();
+        return true;
+    }
+    const auto state = planner_.state_of(query->id);
+    job_reply out{state ? reply_status::done : reply_status::unknown_job};
+    out.state = state.value_or(jobs::job_state::queued);
+    respond(answer(out));
+    return true;
+}
+
+} // namespace mustardwick::entry
--- a/src/mustardwick/entry/gateway.cpp
+++ b/src/mustardwick/entry/gateway.cpp
@@ -157,6 +157,15 @@
     call_(message_type::submit_job, wire::encode(*job), context.deadline,
           [context](leader_result result)
           {
+              if (result.reply &&
+                  result.reply->status == reply_status::store_unavailable)
+              {
+                  log_event(log_level::warning, "gateway", "job_refused",
+                            {{"job", context.id},
+                             {"reason", "the store does not answer"}});
+                  return context.respond(
+                      come_back(milliseconds(result.reply->retry_after_ms)));
+              }
               if (result.reply)
                   return context.respond(plain(ok));
               log_event(log_level::warning, "gateway", "job_not_accepted",
