Do not take a slow store for one that is gone

Ruled out: rolling restarts (they hand the duty over in 80 ms). Change: the timeout grows threefold, and silence counts as failing after 1.3 s where refusals count after 0.5 s.

--- a/include/mustardwick/entry/state_log.hpp
+++ b/include/mustardwick/entry/state_log.hpp
@@ -60,6 +60,12 @@
     {
         return failing_since_;
     }
+    /// @brief The last failure was a missing answer. A slow store looks the
+    /// same for a while.
+    bool is_silent() const
+    {
+        return silent_;
+    }
 
 private:
     void send();
@@ -80,6 +86,7 @@
     base::steady_time sent_;
     std::chrono::milliseconds timeout_{350};
     std::optional<base::steady_time> failing_since_;
+    bool silent_ = false;
     bool busy_ = false;
     bool stopped_ = false;
 };
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -26,6 +26,9 @@
 /// The store fails for this daemon alone when a member gets answers this long
 /// after its failures began.
 constexpr milliseconds failing_before_hand_over{500};
+/// A store that is 70 times as slow as usual answers the second, longer try
+/// within this time.
+constexpr milliseconds silent_before_hand_over{1300};
 constexpr milliseconds newer_answer_margin{300};
 /// A member that the store answered within this time can take the duty; its
 /// watch of the configuration is answered once a second.
@@ -255,7 +258,9 @@
     report_status();
     const auto failing = log_->failing_since();
     beats_->set_store_failing(failing.has_value());
-    if (failing && env_.clock.now() - *failing > failing_before_hand_over)
+    const auto patience =
+        log_->is_silent() ? silent_before_hand_over : failing_before_hand_over;
+    if (failing && env_.clock.now() - *failing > patience)
         if (const auto member =
                 beats_->largest_with_store(*failing + newer_answer_margin))
             return step_down("the store answers another member", member);
--- a/src/mustardwick/entry/cell_leader_calls.cpp
+++ b/src/mustardwick/entry/cell_leader_calls.cpp
@@ -15,6 +15,8 @@
 /// New jobs are refused once transactions have failed for this long; a single
 /// lost answer is resolved sooner.
 constexpr milliseconds failing_before_refusal{600};
+/// A slow store answers the second, longer try within this time.
+constexpr milliseconds silent_before_refusal{1500};
 constexpr milliseconds shortest_pause{1000};
 constexpr milliseconds longest_pause{4000};
 
@@ -32,7 +34,9 @@
         return std::nullopt;
     const auto lasted =
         std::chrono::duration_cast<milliseconds>(env_.clock.now() - *failing);
-    if (lasted < failing_before_refusal)
+    const auto patience =
+        log_->is_silent() ? silent_before_refusal : failing_before_refusal;
+    if (lasted < patience)
         return std::nullopt;
     // An outage that has lasted for a time is likely to last as long again.
     return std::clamp(lasted, shortest_pause, longest_pause);
--- a/src/mustardwick/entry/state_log.cpp
+++ b/src/mustardwick/entry/state_log.cpp
@@ -15,11 +15,12 @@
 
 using std::chrono::milliseconds;
 
-/// A transaction takes 6 ms and up to 70 times as long while the store is
-/// slow. The timeout doubles with each one that is missed; sending a
-/// transaction again is harmless.
+/// A transaction and its answer take 10 ms, and up to 70 times as long while
+/// the store is slow, so that the second try has to last over 700 ms. Sending
+/// a transaction again is harmless.
 constexpr milliseconds first_timeout{350};
 constexpr milliseconds max_timeout{1500};
+constexpr int timeout_growth = 3;
 constexpr int usual_times_allowed = 6;
 constexpr milliseconds refused_pause{60};
 constexpr milliseconds unknown_pause{5};
@@ -106,6 +107,7 @@
         confirmed_ = sent;
         return finish(log_result::durable);
     }
+    silent_ = reply.end == store_end::unknown;
     if (!failing_since_)
     {
         failing_since_ = sent;
@@ -113,7 +115,7 @@
                         {{"reason", reply.reason}});
     }
     if (reply.end == store_end::unknown)
-        timeout_ = std::min(timeout_ * 2, max_timeout);
+        timeout_ = std::min(timeout_ * timeout_growth, max_timeout);
     resend_after(reply.end == store_end::refused ? refused_pause
                                                  : unknown_pause);
 }
