--- a/include/mustardwick/entry/gateway.hpp
+++ b/include/mustardwick/entry/gateway.hpp
@@ -30,13 +30,13 @@
 {
 public:
     using leader_call = std::function<void(
-        wire::message_type, std::string payload, base::steady_time deadline,
-        std::function<void(leader_result)>)>;
+        wire::message_type, const std::string& payload,
+        base::steady_time deadline, std::function<void(leader_result)>)>;
 
     gateway(const base::clock& time, base::metrics& metrics,
             const operator_state& state, leader_call call);
 
-    void handle(aio::incoming_request request, aio::responder respond);
+    void handle(const aio::incoming_request& request, aio::responder respond);
 
 private:
     struct call_context;
--- a/include/mustardwick/entry/worker_links.hpp
+++ b/include/mustardwick/entry/worker_links.hpp
@@ -36,7 +36,7 @@
 
     void listed(const jobs::worker_info& info);
     void unlisted(const std::string& id);
-    void deliver(dispatch::orders orders);
+    void deliver(const dispatch::orders& orders);
     void stop();
 
 private:
@@ -54,8 +54,8 @@
     void renewed(const std::string& id, std::uint64_t generation,
                  platform::renewal_reply reply);
     void renew_after(link& it, std::chrono::milliseconds pause);
-    void start(dispatch::start_order order);
-    void stop_run(dispatch::stop_order order);
+    void start(const dispatch::start_order& order);
+    void stop_run(const dispatch::stop_order& order);
 
     boost::asio::io_context& io_;
     const base::clock& clock_;
--- a/src/mustardwick/base/log.cpp
+++ b/src/mustardwick/base/log.cpp
@@ -2,20 +2,23 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <cstddef>
-#include <iostream>
+#include <cstdint>
+#include <string>
+
+#include <poll.h>
+#include <unistd.h>
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/make_shared.hpp>
-#include <boost/smart_ptr/shared_ptr.hpp>
 
 namespace mustardwick::base
 {
@@ -24,8 +27,53 @@
 {
 
 namespace logging = boost::log;
-using text_sink =
-    logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>;
+
+/// Lines in one second; more are counted and left out, so that an overload
+/// cannot spend the processor on its own description.
+constexpr int max_lines_per_second = 400;
+
+/// Writes lines to standard output and never waits for its reader.
+class output_backend : public logging::sinks::basic_formatted_sink_backend<char>
+{
+public:
+    void consume(const logging::record_view&, const std::string& line)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (now - second_began_ >= std::chrono::seconds(1))
+        {
+            report_dropped();
+            second_began_ = now;
+            lines_ = 0;
+        }
+        if (++lines_ > max_lines_per_second || !write_line(line + '\n'))
+            ++dropped_;
+    }
+
+private:
+    void report_dropped()
+    {
+        if (dropped_ == 0)
+            return;
+        if (write_line("level=warning component=log event=lines_dropped n=" +
+                       std::to_string(dropped_) + '\n'))
+            dropped_ = 0;
+    }
+
+    static bool write_line(const std::string& line)
+    {
+        pollfd out{STDOUT_FILENO, POLLOUT, 0};
+        if (::poll(&out, 1, 0) <= 0 || (out.revents & POLLOUT) == 0)
+            return false;
+        // A line is shorter than what a writable pipe takes at once.
+        return ::write(STDOUT_FILENO, line.data(), line.size()) > 0;
+    }
+
+    std::chrono::steady_clock::time_point second_began_;
+    int lines_ = 0;
+    std::uint64_t dropped_ = 0;
+};
+
+using text_sink = logging::sinks::synchronous_sink<output_backend>;
 
 constexpr std::array<std::string_view, 4> level_names = {"debug", "info",
                                                          "warning", "error"};
@@ -89,11 +137,8 @@
     state().lowest = lowest;
     auto core = logging::core::get();
     core->remove_all_sinks();
-    auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
-    backend->add_stream(
-        boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
-    backend->auto_flush(true);
-    auto sink = boost::make_shared<text_sink>(backend);
+    auto sink =
+        boost::make_shared<text_sink>(boost::make_shared<output_backend>());
     namespace expr = logging::expressions;
     sink->set_formatter(expr::stream
                         << "time="
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -493,6 +493,7 @@
                          return left.slots > right.slots;
                      });
     std::vector<int> slots;
+    slots.reserve(unknown.size());
     for (const auto& it : unknown)
         slots.push_back(it.slots);
     const auto share = allowed_share_[step.queue->name].value();
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -179,10 +179,10 @@
 {
     if (!loaded_)
         return;
-    auto orders = planner_.take_orders(advice_->capacity());
+    const auto orders = planner_.take_orders(advice_->capacity());
     for (const auto& it : orders.questions)
         advice_->ask(it);
-    workers_->deliver(std::move(orders));
+    workers_->deliver(orders);
     pump_commits();
 }
 
--- a/src/mustardwick/entry/cell_leader_load.cpp
+++ b/src/mustardwick/entry/cell_leader_load.cpp
@@ -26,29 +26,30 @@
 
 void cell_leader::load_members()
 {
-    env_.store.read(cell_table, member_partition, "", page_rows, read_timeout,
-                    [self = shared_from_this()](durable::store_reply reply)
-                    {
-                        if (self->stopped_)
-                            return;
-                        if (!reply.ok())
-                            // Members also join by themselves; the rows only
-                            // speed it up.
-                            return log_event(log_level::warning, "leader",
-                                             "members_not_read",
-                                             {{"reason", reply.reason}});
-                        for (const auto& it : reply.rows)
-                            if (const auto record =
-                                    wire::decode<member_record>(it.value))
-                                self->beats_->add(*record);
-                    });
+    env_.store.read(
+        cell_table, member_partition, "", page_rows, read_timeout,
+        [self = shared_from_this()](const durable::store_reply& reply)
+        {
+            if (self->stopped_)
+                return;
+            if (!reply.ok())
+                // Members also join by themselves; the rows only
+                // speed it up.
+                return log_event(log_level::warning, "leader",
+                                 "members_not_read",
+                                 {{"reason", reply.reason}});
+            for (const auto& it : reply.rows)
+                if (const auto record = wire::decode<member_record>(it.value))
+                    self->beats_->add(*record);
+        });
 }
 
 void cell_leader::load_table(const std::string& table, const std::string& from)
 {
     env_.store.read(
         table, plan_partition, from, page_rows, read_timeout,
-        [self = shared_from_this(), table, from](durable::store_reply reply)
+        [self = shared_from_this(), table,
+         from](const durable::store_reply& reply)
         {
             if (self->stopped_)
                 return;
@@ -114,7 +115,7 @@
     if (stopped_)
         return;
     const auto done =
-        [self = shared_from_this(), whole](durable::store_reply reply)
+        [self = shared_from_this(), whole](const durable::store_reply& reply)
     {
         if (self->stopped_)
             return;
--- a/src/mustardwick/entry/config_watch.cpp
+++ b/src/mustardwick/entry/config_watch.cpp
@@ -48,7 +48,7 @@
     if (stopped_)
         return;
     store_.read(platform::operator_table, "", "", page_rows, read_timeout,
-                [self = shared_from_this()](durable::store_reply reply)
+                [self = shared_from_this()](const durable::store_reply& reply)
                 {
                     if (!reply.ok())
                         return self->retry(true);
@@ -64,23 +64,23 @@
 {
     if (stopped_)
         return;
-    store_.changes(platform::operator_table, version_, watch_wait,
-                   watch_wait + watch_slack,
-                   [self = shared_from_this()](durable::store_reply reply)
-                   {
-                       if (reply.end == durable::store_end::history_gone)
-                           return self->read_all();
-                       if (!reply.ok())
-                           return self->retry(false);
-                       if (!self->connected_)
-                           log_event(log_level::info, "config",
-                                     "store_regained");
-                       self->connected_ = true;
-                       self->version_ = std::max(self->version_, reply.version);
-                       if (!reply.rows.empty())
-                           self->apply(reply.rows);
-                       self->follow();
-                   });
+    store_.changes(
+        platform::operator_table, version_, watch_wait,
+        watch_wait + watch_slack,
+        [self = shared_from_this()](const durable::store_reply& reply)
+        {
+            if (reply.end == durable::store_end::history_gone)
+                return self->read_all();
+            if (!reply.ok())
+                return self->retry(false);
+            if (!self->connected_)
+                log_event(log_level::info, "config", "store_regained");
+            self->connected_ = true;
+            self->version_ = std::max(self->version_, reply.version);
+            if (!reply.rows.empty())
+                self->apply(reply.rows);
+            self->follow();
+        });
 }
 
 void config_watch::retry(bool reread)
--- a/src/mustardwick/entry/duty_seeker.cpp
+++ b/src/mustardwick/entry/duty_seeker.cpp
@@ -114,7 +114,7 @@
     call_open_ = true;
     next_read_ = clock_.now() + read_interval;
     store_.read(cell_table, plan_partition, head_key, 1, read_timeout,
-                [self = shared_from_this()](durable::store_reply reply)
+                [self = shared_from_this()](const durable::store_reply& reply)
                 {
                     self->call_open_ = false;
                     if (!self->stopped_ && !self->paused_)
@@ -173,7 +173,7 @@
     tx.writes.push_back({head_address(), wire::encode(*attempt_)});
     call_open_ = true;
     store_.commit(tx, acquire_timeout,
-                  [self = shared_from_this()](durable::store_reply reply)
+                  [self = shared_from_this()](const durable::store_reply& reply)
                   {
                       self->call_open_ = false;
                       self->observed_version_.reset();
--- a/src/mustardwick/entry/entry_node.cpp
+++ b/src/mustardwick/entry/entry_node.cpp
@@ -81,15 +81,15 @@
                      const wire::endpoint& endpoint);
     void fetch_configuration();
     void probe_store();
-    void on_peer_message(message_type type, std::string payload,
+    void on_peer_message(message_type type, const std::string& payload,
                          const aio::peer_responder& respond);
     void on_beat(const std::string& payload,
                  const aio::peer_responder& respond);
     void on_advice(const std::string& payload,
                    const aio::peer_responder& respond);
-    void call_leader(message_type type, std::string payload,
+    void call_leader(message_type type, const std::string& payload,
                      base::steady_time deadline, bool maybe_sent,
-                     std::function<void(leader_result)> done);
+                     const std::function<void(leader_result)>& done);
     void configuration_changed(const operator_state& state);
     bool is_ready() const;
 
@@ -127,21 +127,20 @@
                                             });
     front = std::make_unique<gateway>(
         clock, metrics, config->state(),
-        [this](message_type type, std::string payload,
-               base::steady_time deadline, auto done)
+        [this](message_type type, const std::string& payload,
+               base::steady_time deadline, const auto& done)
         {
-            call_leader(type, std::move(payload), deadline, false,
-                        std::move(done));
+            call_leader(type, payload, deadline, false, done);
         });
     callers = std::make_unique<aio::http_listener>(
         io, options.callers, platform::deadline_header,
-        [this](auto request, auto respond)
+        [this](const auto& request, auto respond)
         {
-            front->handle(std::move(request), std::move(respond));
+            front->handle(request, std::move(respond));
         });
     readiness = std::make_unique<aio::http_listener>(
         io, options.readiness, platform::deadline_header,
-        [this](auto request, auto respond)
+        [this](const auto& request, const auto& respond)
         {
             const bool known = request.target == platform::readiness_path;
             const int status = is_ready() ? ok : unavailable;
@@ -149,7 +148,7 @@
         });
     metrics_page = std::make_unique<aio::http_listener>(
         io, options.metrics, platform::deadline_header,
-        [this](auto, auto respond)
+        [this](const auto&, const auto& respond)
         {
             respond({ok, metrics.render(), "text/plain; version=0.0.4", {}});
         });
@@ -201,7 +200,7 @@
                    // Whether this write or another one won shows in the next
                    // read.
                    store.commit(tx, startup_timeout,
-                                [again](durable::store_reply)
+                                [again](const durable::store_reply&)
                                 {
                                     again();
                                 });
@@ -212,10 +211,10 @@
 {
     peers = std::make_unique<aio::peer_hub>(
         io, options.peers, secret,
-        [this](message_type type, std::string payload,
+        [this](message_type type, const std::string& payload,
                const aio::peer_responder& respond)
         {
-            on_peer_message(type, std::move(payload), respond);
+            on_peer_message(type, payload, respond);
         });
     if (!peers->start())
     {
@@ -315,7 +314,8 @@
     known_leader = {epoch, name, endpoint};
 }
 
-void entry_node::impl::on_peer_message(message_type type, std::string payload,
+void entry_node::impl::on_peer_message(message_type type,
+                                       const std::string& payload,
                                        const aio::peer_responder& respond)
 {
     if (type == message_type::leader_beat)
@@ -422,9 +422,9 @@
                });
 }
 
-void entry_node::impl::call_leader(message_type type, std::string payload,
-                                   base::steady_time deadline, bool maybe_sent,
-                                   std::function<void(leader_result)> done)
+void entry_node::impl::call_leader(
+    message_type type, const std::string& payload, base::steady_time deadline,
+    bool maybe_sent, const std::function<void(leader_result)>& done)
 {
     const auto again = [this, type, payload, deadline, done](bool sent)
     {
--- a/src/mustardwick/entry/gateway.cpp
+++ b/src/mustardwick/entry/gateway.cpp
@@ -95,7 +95,8 @@
     return std::nullopt;
 }
 
-void gateway::handle(aio::incoming_request request, aio::responder respond)
+void gateway::handle(const aio::incoming_request& request,
+                     aio::responder respond)
 {
     metrics_.add("mustardwick_requests_total");
     const auto began = request.received;
--- a/src/mustardwick/entry/member_beats.cpp
+++ b/src/mustardwick/entry/member_beats.cpp
@@ -98,7 +98,7 @@
     peers_.call(
         {it.record.address, it.record.port}, wire::message_type::leader_beat,
         wire::encode(beat_), beat_timeout,
-        [self = shared_from_this(), name, sent](aio::peer_result result)
+        [self = shared_from_this(), name, sent](const aio::peer_result& result)
         {
             auto& member = self->members_[name];
             member.beat_open = false;
--- a/src/mustardwick/entry/worker_links.cpp
+++ b/src/mustardwick/entry/worker_links.cpp
@@ -141,15 +141,15 @@
     renew_after(it, first_retry * (1 << doublings));
 }
 
-void worker_links::deliver(dispatch::orders orders)
+void worker_links::deliver(const dispatch::orders& orders)
 {
-    for (auto& it : orders.stops)
-        stop_run(std::move(it));
-    for (auto& it : orders.starts)
-        start(std::move(it));
+    for (const auto& it : orders.stops)
+        stop_run(it);
+    for (const auto& it : orders.starts)
+        start(it);
 }
 
-void worker_links::start(dispatch::start_order order)
+void worker_links::start(const dispatch::start_order& order)
 {
     const auto found = links_.find(order.worker);
     if (found == links_.end() || !on_.has_authority())
@@ -175,7 +175,7 @@
         });
 }
 
-void worker_links::stop_run(dispatch::stop_order order)
+void worker_links::stop_run(const dispatch::stop_order& order)
 {
     const auto found = links_.find(order.worker);
     if (found == links_.end() || !on_.has_authority())
--- /dev/null
+++ b/src/mustardwick/policy/load_policy_test.cpp
@@ -0,0 +1,84 @@
+#include "mustardwick/policy/advice_plan.hpp"
+#include "mustardwick/policy/share_meter.hpp"
+#include "mustardwick/policy/urgency.hpp"
+
+#include <array>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace mustardwick::policy;
+
+struct order_case
+{
+    const char* name;
+    waiting_step first;
+    waiting_step second;
+};
+
+// Guards against work that cannot be in time, or is an account's surplus,
+// before work that can (trouble-3: credit 0.42 with arrival order).
+Test(load_policy, orders_waiting_steps)
+{
+    const std::array cases = {
+        order_case{"priority", {0, 100, 500, 900}, {1, 100, 200, 900}},
+        order_case{"least slack", {1, 400, 500, 900}, {1, 100, 500, 900}},
+        order_case{
+            "late after in time", {2, 100, 500, 900}, {0, 600, 500, 900}},
+        order_case{"worthless last", {2, 100, 500, 900}, {0, 950, 500, 900}},
+        order_case{"surplus after late",
+                   {2, 600, 500, 900, false},
+                   {0, 100, 500, 900, true}},
+    };
+    for (const auto& it : cases)
+        cr_assert_lt(urgency_of(it.first), urgency_of(it.second), "%s",
+                     it.name);
+}
+
+// Guards against an account that sends many times its weight and pushes the
+// others out; replays 8 s of a hot account beside a usual one.
+Test(load_policy, marks_what_is_beyond_a_share)
+{
+    share_meter hot;
+    share_meter usual;
+    const auto begin = share_meter::time_point{};
+    constexpr double weight = 10;
+    int hot_within = 0;
+    int usual_within = 0;
+    for (int ms = 0; ms < 8000; ms += 20)
+    {
+        const auto now = begin + std::chrono::milliseconds(ms);
+        hot_within += hot.take(now, weight) ? 1 : 0;
+        if (ms % 100 == 0)
+            usual_within += usual.take(now, weight) ? 1 : 0;
+    }
+    cr_assert_eq(usual_within, 80);
+    cr_assert_geq(hot_within, 80);
+    cr_assert_leq(hot_within, 90);
+}
+
+struct ask_case
+{
+    std::vector<int> slots;
+    int missing;
+    double share;
+    std::size_t hosts;
+};
+
+// Guards against questions about so few hosts that a second one follows, and
+// about so many that they hold a channel for nothing.
+Test(load_policy, sizes_questions)
+{
+    const std::array cases = {
+        ask_case{{1, 1, 1, 1, 1, 1, 1, 1}, 2, 0.5, 6},
+        ask_case{{3, 3, 3, 3}, 3, 1.0, 2},
+        ask_case{{1, 1}, 9, 0.5, 2},
+        ask_case{std::vector<int>(300, 1), 80, 0.35, 120},
+    };
+    for (const auto& it : cases)
+        cr_assert_eq(hosts_to_ask(it.slots, it.missing, it.share), it.hosts);
+    cr_assert_eq(questions_for(10, 38), 1);
+    cr_assert_eq(questions_for(60, 38), 4);
+    cr_assert_eq(questions_for(60, 4), 2);
+    cr_assert_eq(questions_for(60, 1), 1);
+}
