Acknowledge ends only when all that they changed is durable

Cause: an end whose job had changed in memory only (another member of its step had ended, or the job had failed or been cancelled) was acknowledged at once; the worker forgot it, and a successor that loaded the older rows started the task again. Ruled out by reading: orders without answers (void by clock), acknowledgements of other lives. Change: every end of a job whose final state is not shown waits for the job's next commit. Rows that name a former life of a worker no longer decide which life it has. Before: the new test failed (acknowledged 1, expected 0). After: it passes.

--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -169,7 +169,8 @@
                     continue;
                 auto& host = hosts_[task.worker];
                 host.info.id = task.worker;
-                host.born_ms = task.worker_born_ms;
+                // Rows may still name a former life of the worker.
+                host.born_ms = std::max(host.born_ms, task.worker_born_ms);
                 host.lease_bound = bound;
                 add_run(host, job, {id, open.number, int(step), int(index)},
                         task.run, run_phase::inherited);
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -33,6 +33,15 @@
     return names.at(static_cast<std::size_t>(how));
 }
 
+std::string_view name_of(jobs::order_result result)
+{
+    constexpr std::array<std::string_view, 11> names = {
+        "accepted", "fenced",     "stale_run", "expired",
+        "no_room",  "bad_ticket", "unhealthy", "other_life",
+        "invalid",  "not_sent",   "unknown"};
+    return names.at(static_cast<std::size_t>(result));
+}
+
 policy::resources charged_size(const jobs::step& step)
 {
     auto out = step.size;
@@ -249,7 +258,15 @@
                    {"run", end.run},
                    {"worker", host.info.id},
                    {"how", name_of(end.how)}});
-    if (job == nullptr || record == nullptr || record->run != end.run ||
+    if (job == nullptr || is_final(job->shown))
+        return;
+    // The worker forgets an end once it is acknowledged. Until the job's state
+    // is durable a successor could need it, also when another end or a
+    // cancellation has made it superfluous here.
+    host.undurable_ends.insert(end.number);
+    job->ends.push_back({host.info.id, host.born_ms, end.number});
+    mark_dirty(*job);
+    if (record == nullptr || record->run != end.run ||
         record->state == jobs::task_state::done)
         return;
     // A former leader may have applied the end and died before the worker
@@ -257,9 +274,6 @@
     if (record->state == jobs::task_state::waiting &&
         end.how != jobs::run_end::done)
         return;
-    host.undurable_ends.insert(end.number);
-    job->ends.push_back({host.info.id, host.born_ms, end.number});
-    mark_dirty(*job);
     const auto& step = job->specification.steps[std::size_t(end.task.step)];
     if (end.how == jobs::run_end::done && !step.long_running)
         return task_done(*job, end.task);
@@ -479,7 +493,7 @@
               {{"task", to_string(order.task)},
                {"run", order.run},
                {"worker", order.worker},
-               {"result", int(reply.result)}});
+               {"result", name_of(reply.result)}});
     // Both may still run: the order until its deadline has passed, and what a
     // successor now controls.
     if (reply.result == order_result::unknown ||
--- a/src/mustardwick/dispatch/planner_test.cpp
+++ b/src/mustardwick/dispatch/planner_test.cpp
@@ -176,6 +176,46 @@
     cr_assert_eq(cell.plan.state_of("j"), jobs::job_state::completed);
 }
 
+enum class shared_end
+{
+    /// Another member of an all-at-once step ended first.
+    member,
+    /// The job has failed for good, which is not durable yet.
+    failed_job,
+    cancelled_job
+};
+
+// Guards against ends that a worker forgets while what they led to is not
+// durable: a successor then started the task again (TWICE on the day
+// leader-turned-away of bdp-sched).
+Test(planner, acknowledges_ends_of_changed_jobs_only_when_durable)
+{
+    for (const auto how : {shared_end::member, shared_end::failed_job,
+                           shared_end::cancelled_job})
+    {
+        planner_fixture cell(2);
+        const bool together = how == shared_end::member;
+        cell.submit(make_job("j", "plain", {make_step(2, 20, together)}));
+        const auto starts = cell.run_round().starts;
+        cr_assert_eq(starts.size(), 2);
+        if (how == shared_end::member)
+            cell.end(starts[0], 1, jobs::run_end::done);
+        if (how == shared_end::cancelled_job)
+            cell.plan.cancel("j", [](cancel_result) {});
+        if (how == shared_end::failed_job)
+        {
+            auto configuration = make_configuration();
+            configuration.queues["plain"].attempts = 1;
+            cell.plan.set_configuration(configuration);
+            cell.end(starts[0], 1, jobs::run_end::failed);
+        }
+        cell.end(starts[1], 1, jobs::run_end::done);
+        cr_assert_eq(cell.plan.acknowledged_end(starts[1].worker), 0);
+        cell.commit();
+        cr_assert_eq(cell.plan.acknowledged_end(starts[1].worker), 1);
+    }
+}
+
 // Guards against a job that fails for good before its attempts are used up,
 // or runs on after them.
 Test(planner, fails_a_job_after_its_attempts)
--- a/src/mustardwick/entry/gateway.cpp
+++ b/src/mustardwick/entry/gateway.cpp
@@ -67,6 +67,8 @@
     std::string id;
     std::string queue;
     std::string account;
+    /// Version that admitted the call.
+    std::int64_t configuration = 0;
     base::steady_time deadline;
     aio::responder respond;
 };
@@ -124,6 +126,7 @@
     context.id = path.substr(queue->path_prefix.size());
     context.queue = queue->name;
     context.account = *account;
+    context.configuration = state_.configuration->version;
     context.deadline =
         began + request.deadline.value_or(default_deadline) - answer_margin;
     context.respond = reply;
@@ -168,7 +171,14 @@
                       come_back(milliseconds(result.reply->retry_after_ms)));
               }
               if (result.reply)
+              {
+                  log_event(log_level::info, "gateway", "job_accepted",
+                            {{"job", context.id},
+                             {"queue", context.queue},
+                             {"account", context.account},
+                             {"configuration", context.configuration}});
                   return context.respond(plain(ok));
+              }
               log_event(log_level::warning, "gateway", "job_not_accepted",
                         {{"job", context.id},
                          {"maybe_sent", int(result.maybe_sent)}});
