Keep the room of stopping runs until their end is listed

Cause: a run that was being stopped counted as gone once a report did not list it and its order's deadline had passed, although its end was not listed yet; its room was given away. Before: the new test failed. After: it passes.

--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -40,6 +40,8 @@
     /// Uses only what other tasks leave.
     bool uses_leftover = false;
     run_phase phase = run_phase::recording;
+    /// The worker accepted it or listed it as running.
+    bool confirmed = false;
     /// Worker's clock after which an unanswered order is void.
     std::int64_t void_after_ms = 0;
     /// Worker's clock when the start was answered.
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -410,6 +410,7 @@
             stop_run(host, it->second);
     }
     auto& run = it->second;
+    run.confirmed = true;
     if (!listed.checkpoint.empty())
         run.checkpoint = listed.checkpoint;
     if (run.phase == run_phase::ordered || run.phase == run_phase::inherited)
@@ -439,8 +440,10 @@
     case run_phase::started:
         return clock_ms > it.started_clock_ms;
     case run_phase::stopping:
-        return is_void ||
-               (it.stopped_clock_ms != 0 && clock_ms > it.stopped_clock_ms);
+        // Its room is free once the worker lists its end. A run that was never
+        // seen cannot begin any more.
+        return !it.confirmed && (is_void || (it.stopped_clock_ms != 0 &&
+                                             clock_ms > it.stopped_clock_ms));
     }
     return false;
 }
@@ -482,6 +485,7 @@
     {
         metrics_.add("mustardwick_starts_total");
         it->second.started_clock_ms = reply.clock_ms;
+        it->second.confirmed = true;
         note_begun(order.task.job);
         it->second.started = clock_.now();
         if (it->second.phase == run_phase::ordered)
--- a/src/mustardwick/dispatch/planner_test.cpp
+++ b/src/mustardwick/dispatch/planner_test.cpp
@@ -127,6 +127,26 @@
                 {{++number, it.task, it.run, jobs::run_end::stopped, ""}});
 }
 
+// Guards against room that is given away while a run is being stopped: the
+// worker may list it neither as running nor as ended for a while (LIMIT on
+// hunt-12f1-3 of bdp-sched-grown).
+Test(planner, keeps_the_room_of_stopping_runs)
+{
+    planner_fixture cell(1);
+    cell.submit(make_job("j", "plain", {make_step(1, 32)}));
+    const auto order = cell.run_round().starts.at(0);
+    cell.plan.cancel("j", [](cancel_result) {});
+    const auto stop = cell.round().stops.at(0);
+    cell.plan.stop_answered(
+        stop, {jobs::order_result::accepted, cell.worker_clock()});
+    cell.submit(make_job("k", "plain", {make_step(1, 1)}));
+    cell.clock.advance(milliseconds(2000));
+    cell.report("w0");
+    cr_assert(cell.round().starts.empty());
+    cell.end(order, 1, jobs::run_end::stopped);
+    cr_assert_eq(cell.round().starts.size(), 1);
+}
+
 struct end_case
 {
     jobs::run_end how;
