Split the planner and the entry daemon into smaller files

No change of behaviour: placement, advice, runs, reports and orders of the planner, and the daemon's life and its messages, are files of their own.

--- /dev/null
+++ b/src/mustardwick/dispatch/planner_orders.cpp
@@ -0,0 +1,91 @@
+#include <algorithm>
+#include <array>
+
+#include "mustardwick/base/log.hpp"
+#include "mustardwick/dispatch/planner.hpp"
+
+namespace mustardwick::dispatch
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+using std::chrono::milliseconds;
+
+/// How long a host that refused an order is left alone.
+constexpr milliseconds refusal_pause{300};
+
+std::string_view name_of(jobs::order_result result)
+{
+    constexpr std::array<std::string_view, 11> names = {
+        "accepted", "fenced",     "stale_run", "expired",
+        "no_room",  "bad_ticket", "unhealthy", "other_life",
+        "invalid",  "not_sent",   "unknown"};
+    return names.at(static_cast<std::size_t>(result));
+}
+
+} // namespace
+
+void planner::start_answered(const start_order& order,
+                             const jobs::order_reply& reply)
+{
+    using jobs::order_result;
+    const auto found = hosts_.find(order.worker);
+    if (found == hosts_.end())
+        return;
+    auto& host = found->second;
+    if (reply.clock_ms != 0)
+        note_clock(host, reply.clock_ms);
+    const run_key key{order.task, order.run};
+    const auto it = host.runs.find(key);
+    if (it == host.runs.end())
+        return;
+    if (reply.result == order_result::accepted)
+    {
+        metrics_.add("mustardwick_starts_total");
+        it->second.started_clock_ms = reply.clock_ms;
+        it->second.confirmed = true;
+        note_begun(order.task.job);
+        it->second.started = clock_.now();
+        if (it->second.phase == run_phase::ordered)
+            it->second.phase = run_phase::started;
+        return;
+    }
+    metrics_.add("mustardwick_starts_refused_total");
+    log_event(log_level::info, "planner", "start_not_accepted",
+              {{"task", to_string(order.task)},
+               {"run", order.run},
+               {"worker", order.worker},
+               {"result", name_of(reply.result)}});
+    // Both may still run: the order until its deadline has passed, and what a
+    // successor now controls.
+    if (reply.result == order_result::unknown ||
+        reply.result == order_result::fenced)
+        return;
+    if (reply.result == order_result::bad_ticket)
+    {
+        if (auto* step = find_step(order.task))
+            step->tickets.erase(order.worker);
+    }
+    else if (reply.result != order_result::stale_run &&
+             reply.result != order_result::expired)
+        host.avoid_until =
+            std::max(host.avoid_until, clock_.now() + refusal_pause);
+    run_lost(host, key, "the order was not accepted");
+}
+
+void planner::stop_answered(const stop_order& order,
+                            const jobs::order_reply& reply)
+{
+    const auto found = hosts_.find(order.worker);
+    if (found == hosts_.end() || reply.result != jobs::order_result::accepted)
+        return;
+    note_clock(found->second, reply.clock_ms);
+    const auto it = found->second.runs.find({order.task, order.run});
+    if (it != found->second.runs.end())
+        it->second.stopped_clock_ms = reply.clock_ms;
+}
+
+} // namespace mustardwick::dispatch
--- /dev/null
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -0,0 +1,170 @@
+#include <set>
+
+#include "mustardwick/base/log.hpp"
+#include "mustardwick/dispatch/planner.hpp"
+
+namespace mustardwick::dispatch
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+using std::chrono::milliseconds;
+
+/// Time after which a stop that has had no effect is sent again.
+constexpr milliseconds stop_resend_interval{500};
+/// A full page of ends; more may follow, so that a run that is not listed may
+/// still be among them.
+constexpr std::size_t ends_per_page = 500;
+
+} // namespace
+
+void planner::worker_listed(const jobs::worker_info& info)
+{
+    auto& host = hosts_[info.id];
+    const bool changed = !host.listed || !(host.info == info);
+    host.listed = true;
+    if (!changed)
+        return;
+    if (host.info.draining != info.draining || host.info.id.empty())
+        log_event(log_level::info, "planner", "worker_listed",
+                  {{"worker", info.id},
+                   {"failure_domain", info.failure_domain},
+                   {"draining", int(info.draining)},
+                   {"born_ms", info.born_ms}});
+    host.info = info;
+    placement_due_ = true;
+}
+
+void planner::worker_unlisted(const std::string& id)
+{
+    const auto it = hosts_.find(id);
+    if (it == hosts_.end() || !it->second.listed)
+        return;
+    it->second.listed = false;
+    log_event(log_level::info, "planner", "worker_unlisted",
+              {{"worker", id}, {"runs", it->second.runs.size()}});
+}
+
+void planner::worker_silent(const std::string& id)
+{
+    const auto it = hosts_.find(id);
+    if (it == hosts_.end() || !it->second.reachable)
+        return;
+    it->second.reachable = false;
+    log_event(log_level::warning, "planner", "worker_silent",
+              {{"worker", id}, {"runs", it->second.runs.size()}});
+}
+
+void planner::worker_reported(const std::string& id,
+                              const jobs::worker_report& report)
+{
+    const auto found = hosts_.find(id);
+    if (found == hosts_.end())
+        return;
+    auto& host = found->second;
+    if (!host.reachable || !host.adopted)
+        placement_due_ = true;
+    if (host.born_ms != report.born_ms)
+    {
+        log_event(log_level::info, "planner", "worker_began_new_life",
+                  {{"worker", id},
+                   {"born_ms", report.born_ms},
+                   {"former_born_ms", host.born_ms}});
+        forget_life(host);
+        host.born_ms = report.born_ms;
+    }
+    host.reachable = true;
+    host.adopted = true;
+    note_clock(host, report.clock_ms);
+    for (const auto& it : report.ended)
+        if (it.number > host.applied_end)
+            apply_end(host, it);
+    compare_with_report(host, report);
+}
+
+void planner::note_listed_run(host_state& host, const jobs::running_run& listed)
+{
+    const run_key key{listed.task, listed.run};
+    auto it = host.runs.find(key);
+    if (it == host.runs.end())
+    {
+        auto* job = find_job(listed.task.job);
+        const bool known =
+            job != nullptr && listed.task.step >= 0 &&
+            std::size_t(listed.task.step) < job->specification.steps.size();
+        if (!known)
+        {
+            outbox_.stops.push_back({host.info.id, listed.task, listed.run});
+            return;
+        }
+        add_run(host, *job, listed.task, listed.run, run_phase::started);
+        it = host.runs.find(key);
+        const auto* record = find_task(listed.task);
+        const bool current = record != nullptr && record->run == listed.run &&
+                             record->state == jobs::task_state::assigned &&
+                             record->worker == host.info.id;
+        if (!current)
+            stop_run(host, it->second);
+    }
+    auto& run = it->second;
+    run.confirmed = true;
+    if (!listed.checkpoint.empty())
+        run.checkpoint = listed.checkpoint;
+    if (run.phase == run_phase::ordered || run.phase == run_phase::inherited)
+    {
+        run.phase = run_phase::started;
+        run.started = clock_.now();
+        note_begun(listed.task.job);
+    }
+    if (run.phase == run_phase::stopping &&
+        clock_.now() - run.stop_sent > stop_resend_interval)
+        stop_run(host, run);
+}
+
+bool planner::is_gone(const running& it, std::int64_t clock_ms) const
+{
+    const bool is_void = it.void_after_ms != 0 && clock_ms > it.void_after_ms;
+    switch (it.phase)
+    {
+    case run_phase::recording:
+        return false;
+    case run_phase::inherited:
+        // Orders of the former leader do nothing once the worker has answered
+        // this one.
+        return true;
+    case run_phase::ordered:
+        return is_void;
+    case run_phase::started:
+        return clock_ms > it.started_clock_ms;
+    case run_phase::stopping:
+        // Its room is free once the worker lists its end. A run that was never
+        // seen cannot begin any more.
+        return !it.confirmed && (is_void || (it.stopped_clock_ms != 0 &&
+                                             clock_ms > it.stopped_clock_ms));
+    }
+    return false;
+}
+
+void planner::compare_with_report(host_state& host,
+                                  const jobs::worker_report& report)
+{
+    std::set<run_key> listed;
+    for (const auto& it : report.running)
+    {
+        note_listed_run(host, it);
+        listed.insert({it.task, it.run});
+    }
+    if (report.ended.size() >= ends_per_page)
+        return;
+    std::vector<run_key> gone;
+    for (const auto& [key, it] : host.runs)
+        if (!listed.contains(key) && is_gone(it, report.clock_ms))
+            gone.push_back(key);
+    for (const auto& key : gone)
+        run_lost(host, key, "the worker does not list it");
+}
+
+} // namespace mustardwick::dispatch
--- /dev/null
+++ b/src/mustardwick/dispatch/ready_step.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "mustardwick/dispatch/planner.hpp"
+
+namespace mustardwick::dispatch
+{
+
+/// A ticket is not used in the last part of its life, because the assignment
+/// has to become durable and the order has to arrive first.
+inline constexpr std::chrono::milliseconds ticket_reserve{250};
+
+/// @brief A host that could take tasks of a step in this round.
+struct planner::candidate
+{
+    host_state* host = nullptr;
+    int slots = 0;
+    std::string ticket;
+    base::steady_time ticket_expires = base::steady_time::max();
+    bool near_data = false;
+    /// Held for the answer to another step's question.
+    bool is_held = false;
+};
+
+/// @brief A step whose tasks may start as soon as there is room.
+struct planner::ready_step
+{
+    job_run* job = nullptr;
+    std::size_t position = 0;
+    int step = 0;
+    const jobs::queue* queue = nullptr;
+    int waiting = 0;
+    std::tuple<policy::outlook, int, std::int64_t> urgency;
+
+    const jobs::step& spec() const
+    {
+        return job->specification.steps[std::size_t(step)];
+    }
+    std::vector<jobs::task_record>& tasks() const
+    {
+        return job->record.open[position].tasks[std::size_t(step)];
+    }
+    step_run& state() const
+    {
+        return job->steps[position][std::size_t(step)];
+    }
+    std::int64_t occurrence() const
+    {
+        return job->record.open[position].number;
+    }
+};
+
+} // namespace mustardwick::dispatch
--- /dev/null
+++ b/src/mustardwick/entry/entry_node_impl.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <csignal>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "mustardwick/aio/http_listener.hpp"
+#include "mustardwick/aio/peer_hub.hpp"
+#include "mustardwick/entry/cell_leader.hpp"
+#include "mustardwick/entry/duty_seeker.hpp"
+#include "mustardwick/entry/entry_node.hpp"
+#include "mustardwick/entry/gateway.hpp"
+
+namespace mustardwick::entry
+{
+
+namespace asio = boost::asio;
+using wire::message_type;
+
+/// @brief The leader as this daemon knows it.
+struct leader_address
+{
+    std::int64_t epoch = 0;
+    std::string name;
+    wire::endpoint endpoint;
+};
+
+struct entry_node::impl : std::enable_shared_from_this<impl>
+{
+    explicit impl(settings values)
+        : options(std::move(values)), store(io, options.store, metrics),
+          advice(io, options.advisor), signals(io, SIGTERM, SIGINT, SIGHUP),
+          startup_timer(io), shutdown_timer(io)
+    {
+        self_record = {options.name, options.peers.address, options.peers.port,
+                       options.capacity};
+    }
+
+    bool start();
+    void read_secret();
+    void start_peers(const std::string& secret);
+    void write_member_row();
+    void wait_for_signal();
+    void begin_shutdown();
+    void poll_shutdown(base::steady_time earliest, base::steady_time latest);
+    void acquired(head_record head, std::int64_t version);
+    void duty_lost(std::optional<member_record> successor);
+    void note_leader(std::int64_t epoch, const std::string& name,
+                     const wire::endpoint& endpoint);
+    void fetch_configuration();
+    void probe_store();
+    void on_peer_message(message_type type, const std::string& payload,
+                         const aio::peer_responder& respond);
+    void on_beat(const std::string& payload,
+                 const aio::peer_responder& respond);
+    void on_advice(const std::string& payload,
+                   const aio::peer_responder& respond);
+    void call_leader(message_type type, const std::string& payload,
+                     base::steady_time deadline, bool maybe_sent,
+                     const std::function<void(leader_result)>& done);
+    void configuration_changed(const operator_state& state);
+    bool is_ready() const;
+
+    asio::io_context io{1};
+    base::system_clock clock;
+    base::metrics metrics;
+    settings options;
+    platform::store_client store;
+    platform::advice_client advice;
+    asio::signal_set signals;
+    asio::steady_timer startup_timer;
+    asio::steady_timer shutdown_timer;
+    member_record self_record;
+    std::shared_ptr<config_watch> config;
+    std::unique_ptr<aio::peer_hub> peers;
+    std::shared_ptr<duty_seeker> seeker;
+    std::unique_ptr<gateway> front;
+    std::unique_ptr<aio::http_listener> callers;
+    std::unique_ptr<aio::http_listener> readiness;
+    std::unique_ptr<aio::http_listener> metrics_page;
+    std::shared_ptr<cell_leader> leader;
+    leader_address known_leader;
+    std::function<std::optional<settings>()> reload;
+    bool fetching_configuration = false;
+    bool probing_store = false;
+    bool leaving = false;
+};
+
+} // namespace mustardwick::entry
--- /dev/null
+++ b/src/mustardwick/entry/entry_node_peers.cpp
@@ -0,0 +1,195 @@
+#include "entry_node_impl.hpp"
+
+#include <utility>
+
+#include "mustardwick/wire/codec.hpp"
+
+namespace mustardwick::entry
+{
+
+namespace
+{
+
+constexpr milliseconds configuration_timeout{1000};
+constexpr milliseconds probe_timeout{500};
+/// Pause between two attempts to reach a leader.
+constexpr milliseconds leader_retry{60};
+/// Longest wait for one answer of the leader; a commit to a slow store takes
+/// most of a second.
+constexpr milliseconds leader_call_timeout{1500};
+
+} // namespace
+
+void entry_node::impl::on_peer_message(message_type type,
+                                       const std::string& payload,
+                                       const aio::peer_responder& respond)
+{
+    if (type == message_type::leader_beat)
+        return on_beat(payload, respond);
+    if (type == message_type::ask_advice)
+        return on_advice(payload, respond);
+    if (type == message_type::fetch_configuration)
+        return respond(config->state().configuration_text);
+    if (type == message_type::join_cell)
+    {
+        const auto record = wire::decode<member_record>(payload);
+        if (record && leader)
+            leader->member_joined(*record);
+        return respond({});
+    }
+    if (type == message_type::hand_over)
+    {
+        const auto message = wire::decode<hand_over>(payload);
+        if (message && message->epoch == known_leader.epoch && !leader &&
+            !leaving)
+            seeker->take_now();
+        return respond({});
+    }
+    const bool taken = leader && leader->handle(type, payload, respond);
+    if (!taken)
+        respond(wire::encode(job_reply{}));
+}
+
+void entry_node::impl::on_beat(const std::string& payload,
+                               const aio::peer_responder& respond)
+{
+    const auto beat = wire::decode<leader_beat>(payload);
+    if (!beat)
+        return;
+    if (beat->epoch >= known_leader.epoch)
+    {
+        note_leader(beat->epoch, beat->leader, {beat->address, beat->port});
+        if (!leader)
+            seeker->heard();
+        const auto& known = config->state().configuration;
+        if (!known || known->version < beat->configuration)
+            fetch_configuration();
+        if (beat->store_failing)
+            probe_store();
+    }
+    beat_answer answer;
+    answer.epoch = known_leader.epoch;
+    answer.leaving = leaving;
+    const auto last = store.last_answer();
+    if (last != base::steady_time{})
+        answer.store_age_ms =
+            std::chrono::duration_cast<milliseconds>(clock.now() - last)
+                .count();
+    respond(wire::encode(answer));
+}
+
+void entry_node::impl::probe_store()
+{
+    if (probing_store || leader)
+        return;
+    probing_store = true;
+    // Whether it answers shows in the next beat's answer.
+    store.read(cell_table, plan_partition, head_key, 1, probe_timeout,
+               [this](const durable::store_reply&)
+               {
+                   probing_store = false;
+               });
+}
+
+void entry_node::impl::fetch_configuration()
+{
+    if (fetching_configuration || leader)
+        return;
+    fetching_configuration = true;
+    peers->call(known_leader.endpoint, message_type::fetch_configuration, {},
+                configuration_timeout,
+                [this](const aio::peer_result& result)
+                {
+                    fetching_configuration = false;
+                    if (result.answered && !result.payload.empty())
+                        config->offer(result.payload);
+                });
+}
+
+void entry_node::impl::on_advice(const std::string& payload,
+                                 const aio::peer_responder& respond)
+{
+    const auto request = wire::decode<advice_request>(payload);
+    if (!request)
+        return respond(wire::encode(advice_reply{}));
+    dispatch::advice_question question;
+    question.job = request->job;
+    question.occurrence = request->occurrence;
+    question.step = request->step;
+    question.workers = request->workers;
+    advice.ask(question, milliseconds(request->timeout_ms),
+               [respond](auto allowed)
+               {
+                   advice_reply out;
+                   out.answered = allowed.has_value();
+                   if (allowed)
+                       out.allowed = std::move(*allowed);
+                   respond(wire::encode(out));
+               });
+}
+
+void entry_node::impl::call_leader(
+    message_type type, const std::string& payload, base::steady_time deadline,
+    bool maybe_sent, const std::function<void(leader_result)>& done)
+{
+    const auto again = [this, type, payload, deadline, done](bool sent)
+    {
+        const auto next = clock.now() + leader_retry;
+        if (next >= deadline)
+            return done({std::nullopt, sent});
+        auto timer = std::make_shared<asio::steady_timer>(io, leader_retry);
+        timer->async_wait(
+            [this, timer, type, payload, deadline, sent,
+             done](boost::system::error_code)
+            {
+                call_leader(type, payload, deadline, sent, done);
+            });
+    };
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(deadline - clock.now());
+    if (left.count() <= 0)
+        return done({std::nullopt, maybe_sent});
+    if (leader)
+    {
+        // A leader that loses the duty answers no more.
+        auto timer = std::make_shared<asio::steady_timer>(
+            io, std::min(left, leader_call_timeout));
+        const auto open = std::make_shared<bool>(true);
+        const auto respond = [done, timer, open](const std::string& answer)
+        {
+            if (!std::exchange(*open, false))
+                return;
+            timer->cancel();
+            done({wire::decode<job_reply>(answer), true});
+        };
+        if (!leader->handle(type, payload, respond))
+            return again(maybe_sent);
+        if (*open)
+            timer->async_wait(
+                [timer, open, again](boost::system::error_code ec)
+                {
+                    if (!ec && std::exchange(*open, false))
+                        again(true);
+                });
+        return;
+    }
+    if (known_leader.epoch == 0 || !peers || known_leader.name == options.name)
+        return again(maybe_sent);
+    peers->call(known_leader.endpoint, type, payload,
+                std::min(left, leader_call_timeout),
+                [this, maybe_sent, again, done,
+                 epoch = known_leader.epoch](const aio::peer_result& result)
+                {
+                    std::optional<job_reply> reply;
+                    if (result.answered)
+                        reply = wire::decode<job_reply>(result.payload);
+                    if (reply && reply->status != reply_status::not_leader)
+                        return done({reply, true});
+                    if (result.refused && epoch == known_leader.epoch &&
+                        !leader)
+                        seeker->leader_gone();
+                    again(maybe_sent || !(reply || result.refused));
+                });
+}
+
+} // namespace mustardwick::entry
