Forget stopped runs that only a former leader ordered

Ruled out: the worker, which answered later and did not list the run. Change: such a run is gone once its worker has answered without listing it. Before: the new test failed. After: it passes.

--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -141,9 +141,11 @@
         return clock_ms > it.started_clock_ms;
     case run_phase::stopping:
         // Its room is free once the worker lists its end. A run that was never
-        // seen cannot begin any more.
-        return !it.confirmed && (is_void || (it.stopped_clock_ms != 0 &&
-                                             clock_ms > it.stopped_clock_ms));
+        // seen cannot begin when its order is void, was stopped, or came from
+        // a former leader.
+        return !it.confirmed &&
+               (it.void_after_ms == 0 || is_void ||
+                (it.stopped_clock_ms != 0 && clock_ms > it.stopped_clock_ms));
     }
     return false;
 }
--- a/src/mustardwick/dispatch/planner_test.cpp
+++ b/src/mustardwick/dispatch/planner_test.cpp
@@ -426,6 +426,32 @@
     cr_assert_neq(cell.round().starts.at(0).worker, order.worker);
 }
 
+// Guards against an all-at-once step that never runs again because a member's
+// worker could not be reached when the step was stopped (LOST on trouble-2
+// seed 792263900696 of tp-dakar-grown).
+Test(planner, forgets_stopped_runs_that_a_former_leader_ordered)
+{
+    planner_fixture cell(2);
+    jobs::job_record record;
+    record.state = jobs::job_state::running;
+    record.occurrences_opened = 1;
+    jobs::task_record task;
+    task.state = jobs::task_state::assigned;
+    task.run = 1;
+    task.worker_born_ms = born;
+    task.worker = "w8";
+    auto other = task;
+    other.worker = "w9";
+    record.open.push_back({0, {{task, other}}});
+    cell.plan.restore(make_job("j", "plain", {make_step(2, 1, true)}), record);
+    cell.list_host("w8", "z", false);
+    cell.report("w8", {}, {{1, {"j", 0, 0, 0}, 1, jobs::run_end::alone, ""}});
+    cr_assert(cell.round().starts.empty());
+    cell.list_host("w9", "z", false);
+    cell.report("w9");
+    cr_assert_eq(cell.round().starts.size(), 2);
+}
+
 // Guards against runs of a former life of a worker that are waited for.
 Test(planner, requeues_runs_of_a_former_life)
 {
