--- /dev/null
+++ b/include/mustardwick/aio/acceptor.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "mustardwick/wire/endpoint.hpp"
+
+namespace mustardwick::aio
+{
+
+/// @brief Binds an acceptor and listens; false gives base::last_error().
+bool open_acceptor(boost::asio::ip::tcp::acceptor& acceptor,
+                   const wire::endpoint& address);
+
+} // namespace mustardwick::aio
--- a/include/mustardwick/entry/worker_links.hpp
+++ b/include/mustardwick/entry/worker_links.hpp
@@ -32,7 +32,7 @@
 
     worker_links(boost::asio::io_context& io, const base::clock& time,
                  base::metrics& metrics, dispatch::planner& planner,
-                 std::int64_t fencing_token, events on);
+                 std::int64_t epoch, events on);
 
     void listed(const jobs::worker_info& info);
     void unlisted(const std::string& id);
@@ -61,7 +61,7 @@
     const base::clock& clock_;
     base::metrics& metrics_;
     dispatch::planner& planner_;
-    std::int64_t fencing_token_;
+    std::int64_t epoch_;
     events on_;
     std::map<std::string, link, std::less<>> links_;
     bool stopped_ = false;
--- a/src/mustardwick/aio/http_listener.cpp
+++ b/src/mustardwick/aio/http_listener.cpp
@@ -9,8 +9,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "mustardwick/aio/acceptor.hpp"
 #include "mustardwick/aio/socket_options.hpp"
-#include "mustardwick/base/error.hpp"
 #include "mustardwick/base/log.hpp"
 
 namespace mustardwick::aio
@@ -283,25 +283,8 @@
 
 bool http_listener::start()
 {
-    error_code ec;
-    const auto ip = asio::ip::make_address(impl_->address.address, ec);
-    const asio::ip::tcp::endpoint where(ip, impl_->address.port);
-    if (!ec)
-        impl_->acceptor.open(where.protocol(), ec);
-    if (!ec)
-        impl_->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-    if (!ec)
-        impl_->acceptor.bind(where, ec);
-    if (!ec)
-        impl_->acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec)
-    {
-        base::fail(base::error_kind::unavailable,
-                   "cannot listen on " + wire::to_string(impl_->address) +
-                       ": " + ec.message(),
-                   "check that the address is this host's and the port free");
+    if (!open_acceptor(impl_->acceptor, impl_->address))
         return false;
-    }
     impl_->accept();
     return true;
 }
--- a/src/mustardwick/aio/peer_hub.cpp
+++ b/src/mustardwick/aio/peer_hub.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "framed_stream.hpp"
+#include "mustardwick/aio/acceptor.hpp"
 #include "mustardwick/aio/socket_options.hpp"
 
 namespace mustardwick::aio
@@ -285,25 +286,8 @@
 
 bool peer_hub::start()
 {
-    error_code ec;
-    const auto ip = asio::ip::make_address(impl_->listen.address, ec);
-    const tcp::endpoint where(ip, impl_->listen.port);
-    if (!ec)
-        impl_->acceptor.open(where.protocol(), ec);
-    if (!ec)
-        impl_->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-    if (!ec)
-        impl_->acceptor.bind(where, ec);
-    if (!ec)
-        impl_->acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec)
-    {
-        base::fail(base::error_kind::unavailable,
-                   "cannot listen on " + wire::to_string(impl_->listen) + ": " +
-                       ec.message(),
-                   "check that the address is this host's and the port free");
+    if (!open_acceptor(impl_->acceptor, impl_->listen))
         return false;
-    }
     impl_->accept();
     return true;
 }
--- a/src/mustardwick/entry/worker_links.cpp
+++ b/src/mustardwick/entry/worker_links.cpp
@@ -24,9 +24,9 @@
 
 worker_links::worker_links(boost::asio::io_context& io, const base::clock& time,
                            base::metrics& metrics, dispatch::planner& planner,
-                           std::int64_t fencing_token, events on)
+                           std::int64_t epoch, events on)
     : io_(io), clock_(time), metrics_(metrics), planner_(planner),
-      fencing_token_(fencing_token), on_(std::move(on))
+      epoch_(epoch), on_(std::move(on))
 {
 }
 
@@ -89,7 +89,7 @@
         return renew_after(it, no_authority_pause);
     ++it.generation;
     platform::lease_renewal renewal;
-    renewal.fencing_token = fencing_token_;
+    renewal.epoch = epoch_;
     renewal.acknowledged_end = planner_.acknowledged_end(id);
     renewal.deadline_ms = planner_.lease_deadline(id);
     // The first answer is needed at once, for the worker's clock.
@@ -160,7 +160,7 @@
     const auto sent = clock_.now();
     auto& client = *found->second.client;
     client.start(
-        order, fencing_token_,
+        order, epoch_,
         [self = shared_from_this(), order, sent](jobs::order_reply reply)
         {
             if (self->stopped_)
@@ -181,7 +181,7 @@
     if (found == links_.end() || !on_.has_authority())
         return;
     auto& client = *found->second.client;
-    client.stop(order, fencing_token_,
+    client.stop(order, epoch_,
                 [self = shared_from_this(), order](jobs::order_reply reply)
                 {
                     if (self->stopped_)
