--- a/src/mustardwick/dispatch/advice_test.cpp
+++ b/src/mustardwick/dispatch/advice_test.cpp
@@ -114,6 +114,6 @@
         cell.plan.take_orders({4, 2});
     }
     const auto took = std::chrono::steady_clock::now() - began;
-    // The bound leaves room for sanitizer builds; measured 0.9 ms a round.
+    // The bound leaves room for sanitizer builds.
     cr_assert_lt(took / rounds, milliseconds(20));
 }
