Stop tasks with checkpoints for all-at-once steps where stops are short

Change: policy::make_room chooses the least work to stop so that all members fit on allowed hosts; only the room of the members is kept until they start. Done when a stop takes at most a tenth of the step's run time. Only tasks with checkpoints in their first run are stopped, of less urgent jobs with slack or of jobs that are too late. Tests, red before: load_policy.makes_room_with_the_least_stopped_work, placement.stops_tasks_with_checkpoints_for_wide_steps.

--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -82,6 +82,11 @@
     /// An all-at-once step asks about this host; others go elsewhere first.
     std::string held_for;
     base::steady_time held_until;
+    /// Tasks were stopped to make this room for a job; until then no other job
+    /// uses it.
+    policy::resources kept_room;
+    std::string kept_for;
+    base::steady_time kept_until;
     /// No new work before this time.
     base::steady_time avoid_until;
 
--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -36,6 +36,9 @@
     /// Questions that are not answered yet.
     int open_questions = 0;
     base::steady_time next_question;
+    /// Hosts are kept for the step until this time, on which tasks were
+    /// stopped.
+    base::steady_time room_made_until;
     /// Failures of an all-at-once step count once for each run number.
     int failed_run = 0;
     /// Time before which no task of the step is started again.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -32,6 +32,8 @@
     std::chrono::milliseconds former_authority{2500};
     /// How long the state of a finished job can be queried.
     std::chrono::milliseconds retention{120'000};
+    /// Longest time that a worker takes to stop a run.
+    std::chrono::milliseconds stop_grace{900};
     /// How early a timed occurrence may start.
     std::chrono::milliseconds early_start{200};
 };
@@ -171,6 +173,14 @@
     account_usage& usage_of(const std::string& account);
     void release_starts(std::vector<start_order> starts);
 
+    // planner_preempt.cpp
+    /// @brief The task can be stopped and resumed later at little cost, and is
+    /// less urgent than the step.
+    bool may_stop_for(const ready_step& step, const running& it);
+    /// @brief Stops tasks so that an all-at-once step fits on the hosts that
+    /// are known to be allowed.
+    bool make_room(const ready_step& step);
+
     // planner_runs.cpp
     void add_run(host_state& host, const job_run& job,
                  const jobs::task_key& task, int run, run_phase phase);
@@ -215,6 +225,9 @@
     bool is_usable(const host_state& host, std::string_view service) const;
     /// @brief Tasks of a step that a host may run, whatever room it has.
     int most_tasks_on(const host_state& host, const ready_step& step) const;
+    /// @brief Free room of a host without what is kept for other steps.
+    policy::resources open_room(const host_state& host,
+                                const ready_step& step) const;
     /// @brief Tasks of a step for which a host has room now.
     int slots_on(const host_state& host, const ready_step& step) const;
     /// @brief Tasks of a step for which a host has room now or soon.
@@ -251,6 +264,8 @@
     std::map<std::string, processors, std::less<>> round_processors_;
     /// Thousandths of processors that waiting all-at-once steps need.
     std::int64_t round_planned_ = 0;
+    /// Searches for tasks to stop in this round.
+    int round_searches_ = 0;
     round_summary round_;
     advice_capacity advice_;
     std::uint64_t configuration_serial_ = 1;
--- a/include/mustardwick/entry/settings.hpp
+++ b/include/mustardwick/entry/settings.hpp
@@ -25,6 +25,8 @@
     milliseconds grace{6000};
     /// How long the state of a finished job can be queried.
     milliseconds retention{120'000};
+    /// Longest time that a worker takes to stop a run.
+    milliseconds stop_grace{900};
     /// How early a timed occurrence may start.
     milliseconds early_start{250};
     /// Time between two holders of a duty.
--- a/src/mustardwick/dispatch/placement_test.cpp
+++ b/src/mustardwick/dispatch/placement_test.cpp
@@ -1,5 +1,7 @@
 #include "planner_fixture_test.hpp"
 
+#include <array>
+
 #include <criterion/criterion.h>
 
 using namespace mustardwick;
@@ -112,3 +114,51 @@
     cr_assert_eq(questions.size(), 1);
     cr_assert_neq(questions[0].workers.at(0), "w0-empty");
 }
+
+struct stop_case
+{
+    const char* name;
+    bool checkpointing;
+    std::int64_t wide_run_ms;
+    std::size_t stops;
+};
+
+// Guards against an all-at-once step that waits for small tasks which could be
+// resumed elsewhere, and against stops that lose work or cost more than they
+// gain.
+Test(placement, stops_tasks_with_checkpoints_for_wide_steps)
+{
+    const std::array cases = {
+        stop_case{"tasks with checkpoints", true, 20'000, 2},
+        stop_case{"tasks without checkpoints", false, 20'000, 0},
+        stop_case{"short wide step", true, 2'000, 0},
+    };
+    for (const auto& it : cases)
+    {
+        planner_fixture cell(2);
+        auto configuration = make_configuration();
+        configuration.accounts["many"] = {"many", {}, 1000, {}};
+        configuration.queues["plain"].target_latency_ms = 60'000;
+        cell.plan.set_configuration(configuration);
+        auto small = make_step(2, 20);
+        small.checkpointing = it.checkpointing;
+        cell.submit(make_job("small", "plain", {small}, "many"));
+        const auto fillers = cell.run_round().starts;
+        auto wide = make_step(2, 20, true);
+        wide.estimate_ms = it.wide_run_ms;
+        cell.submit(make_job("wide", "asked", {wide}, "many"));
+        const auto question = cell.round(1).questions.at(0);
+        cell.plan.advice_answered(question, allow_all(question),
+                                  cell.clock.now());
+        cr_assert_eq(cell.round().stops.size(), it.stops, "%s", it.name);
+        if (it.stops == 0)
+            continue;
+        // The stopped job waits until the wide one has started.
+        for (const auto& filler : fillers)
+            cell.end(filler, 1, jobs::run_end::stopped);
+        const auto starts = cell.round().starts;
+        cr_assert_eq(starts.size(), 2);
+        for (const auto& order : starts)
+            cr_assert_eq(order.task.job, "wide");
+    }
+}
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -222,6 +222,7 @@
     round_hosts_.clear();
     round_processors_.clear();
     round_planned_ = 0;
+    round_searches_ = 0;
     round_ = {};
     for (auto& [id, host] : hosts_)
     {
@@ -323,10 +324,21 @@
     return std::max(n, 0);
 }
 
+policy::resources planner::open_room(const host_state& host,
+                                     const ready_step& step) const
+{
+    const bool kept = host.kept_until > clock_.now() &&
+                      host.kept_for != step.job->specification.id;
+    auto out = host.free() - host.reserved;
+    if (kept)
+        out -= host.kept_room;
+    return out;
+}
+
 int planner::slots_on(const host_state& host, const ready_step& step) const
 {
-    const int n = units_in(host.free() - host.reserved,
-                           charged_size(step.spec()), step.waiting);
+    const int n = units_in(open_room(host, step), charged_size(step.spec()),
+                           step.waiting);
     return n == 0 ? 0 : std::min(n, most_tasks_on(host, step));
 }
 
@@ -418,6 +430,7 @@
         ++round_.without_room;
     if (room == 0 || (spec.all_at_once && room < affordable))
     {
+        make_room(step);
         reserve_room(step);
         return false;
     }
--- /dev/null
+++ b/src/mustardwick/dispatch/planner_preempt.cpp
@@ -0,0 +1,113 @@
+#include <algorithm>
+
+#include "mustardwick/base/log.hpp"
+#include "mustardwick/policy/make_room.hpp"
+#include "ready_step.hpp"
+
+namespace mustardwick::dispatch
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+using std::chrono::milliseconds;
+
+/// Slack that a job needs so that stopping one of its tasks does not make it
+/// late: the stop, the wait for room and the work since the last checkpoint.
+constexpr std::int64_t least_slack_ms = 3000;
+/// Stopping is worth it when the time of a stop, in which the room is idle, is
+/// at most this part of the step's run time.
+constexpr double most_stop_overhead = 0.1;
+/// Time from the end of the last stopped task to the start of the step.
+constexpr milliseconds start_margin{400};
+/// Steps for which tasks are stopped in one round; each search looks at every
+/// task on the hosts that the step may use.
+constexpr int searches_per_round = 2;
+
+} // namespace
+
+bool planner::may_stop_for(const ready_step& step, const running& it)
+{
+    // A task is moved once at most, so that it gets done in the end.
+    if (it.phase != run_phase::started || it.run > 1)
+        return false;
+    auto* job = find_job(it.task.job);
+    if (job == nullptr || job->record.open.empty())
+        return false;
+    const auto& spec = job->specification.steps.at(std::size_t(it.task.step));
+    if (!spec.checkpointing || spec.all_at_once || spec.long_running)
+        return false;
+    if (context_of(*job).queue == nullptr)
+        return false;
+    const auto inputs = outlook_inputs(*job);
+    if (policy::outlook_of(inputs) != policy::outlook::in_time)
+        return true;
+    return inputs.priority > step.queue->priority &&
+           inputs.objective_left_ms - inputs.chain_left_ms > least_slack_ms;
+}
+
+bool planner::make_room(const ready_step& step)
+{
+    auto& state = step.state();
+    const auto now = clock_.now();
+    const double run_ms = double(step.spec().estimate_ms);
+    if (double(options_.stop_grace.count()) > run_ms * most_stop_overhead)
+        return false;
+    if (!step.may_reserve() || round_searches_ >= searches_per_round ||
+        state.room_made_until > now)
+        return false;
+    ++round_searches_;
+    std::vector<host_state*> hosts;
+    std::vector<policy::host_room> rooms;
+    std::vector<std::vector<run_key>> stoppable;
+    for (const auto& [id, ticket] : state.tickets)
+    {
+        const auto found = hosts_.find(id);
+        if (found == hosts_.end() || state.failed_on.contains(id) ||
+            !is_usable(found->second, step.queue->service))
+            continue;
+        auto& host = found->second;
+        policy::host_room room;
+        room.free = open_room(host, step);
+        room.most = most_tasks_on(host, step);
+        std::vector<run_key> keys;
+        for (const auto& [key, it] : host.runs)
+            if (may_stop_for(step, it))
+            {
+                room.stoppable.push_back(it.size);
+                keys.push_back(key);
+            }
+        hosts.push_back(&host);
+        rooms.push_back(std::move(room));
+        stoppable.push_back(std::move(keys));
+    }
+    const auto choice =
+        policy::make_room(rooms, charged_size(step.spec()), step.waiting);
+    if (!choice)
+        return false;
+    state.room_made_until = now + options_.stop_grace + start_margin;
+    std::size_t stopped = 0;
+    for (const auto& it : *choice)
+    {
+        auto& host = *hosts[it.host];
+        for (std::size_t n = 0; n < it.stopped; ++n, ++stopped)
+            stop_run(host, host.runs.at(stoppable[it.host][n]));
+        host.kept_for = step.job->specification.id;
+        host.kept_until = state.room_made_until;
+        host.kept_room = {};
+        for (int n = 0; n < it.members; ++n)
+            host.kept_room += charged_size(step.spec());
+    }
+    metrics_.add("mustardwick_preemptions_total", stopped);
+    log_event(log_level::info, "planner", "room_made",
+              {{"job", step.job->specification.id},
+               {"step", step.step},
+               {"tasks", step.waiting},
+               {"stopped_tasks", stopped},
+               {"hosts", choice->size()}});
+    return true;
+}
+
+} // namespace mustardwick::dispatch
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -46,6 +46,7 @@
     dispatch::planner_options out;
     out.max_lease = options.limits.max_lease;
     out.retention = options.limits.retention;
+    out.stop_grace = options.limits.stop_grace;
     // A timer may fire late but never early; clocks differ a little.
     out.early_start = options.limits.early_start / 2;
     return out;
--- a/src/mustardwick/policy/load_policy_test.cpp
+++ b/src/mustardwick/policy/load_policy_test.cpp
@@ -1,4 +1,5 @@
 #include "mustardwick/policy/advice_plan.hpp"
+#include "mustardwick/policy/make_room.hpp"
 #include "mustardwick/policy/share_meter.hpp"
 #include "mustardwick/policy/urgency.hpp"
 
@@ -82,3 +83,33 @@
     cr_assert_eq(questions_for(60, 4), 2);
     cr_assert_eq(questions_for(60, 1), 1);
 }
+
+struct room_case
+{
+    const char* name;
+    std::vector<host_room> hosts;
+    int members;
+    std::optional<std::vector<host_share>> expected;
+};
+
+// Guards against more stopped work than the step needs, and against stopping
+// anything for a step that would not fit all the same.
+Test(load_policy, makes_room_with_the_least_stopped_work)
+{
+    const resources size{9000, 100, 0};
+    const resources small{3000, 10, 0};
+    const resources large{5000, 10, 0};
+    const host_room idle{{9000, 1000, 0}, {small}, 1};
+    const host_room near{{6000, 1000, 0}, {small, small}, 1};
+    const host_room far{{0, 1000, 0}, {large, large}, 1};
+    const std::array cases = {
+        room_case{"nothing to stop", {idle, near}, 1, {{{0, 1, 0}}}},
+        room_case{
+            "one small task", {idle, near, far}, 2, {{{0, 1, 0}, {1, 1, 1}}}},
+        room_case{"every host", {far, near}, 2, {{{0, 1, 2}, {1, 1, 1}}}},
+        room_case{"too few hosts", {idle, near}, 3, std::nullopt},
+    };
+    for (const auto& it : cases)
+        cr_assert(make_room(it.hosts, size, it.members) == it.expected, "%s",
+                  it.name);
+}
