Place nothing on hosts that the platform's list shows as leaving

Change: the planner asks the same list before each round and closes hosts that leave; their tasks stay.

--- a/include/mustardwick/coordination/job_book.hpp
+++ b/include/mustardwick/coordination/job_book.hpp
@@ -62,6 +62,10 @@
     /// @brief Brings hosts and teams in line with the configuration.
     void configure(const configuration& config);
 
+    /// @brief Hosts that leave keep their tasks and get no new ones.
+    void
+    note_leaving(const std::function<bool(const std::string&)>& is_leaving);
+
     void add_job(const job_record& value);
     void cancel_job(std::string_view id);
 
@@ -114,6 +118,8 @@
         bool declared = false;
         bool in_service = false;
         bool reported_open = false;
+        /// The platform lists the host as leaving.
+        bool leaving = false;
         std::string lease;
         int consecutive_failures = 0;
         base::steady_time quarantined_until;
--- a/include/mustardwick/coordination/planner.hpp
+++ b/include/mustardwick/coordination/planner.hpp
@@ -37,6 +37,8 @@
         deliver;
     /// Runs a delivery, which may wait for its answer.
     std::function<void(std::function<void()>)> post;
+    /// The platform lists a host as leaving; empty where there is no list.
+    std::function<bool(const std::string&)> is_leaving = {};
 };
 
 /// @brief Places submitted work while this daemon holds the planner duty.
--- a/src/mustardwick/coordination/job_book.cpp
+++ b/src/mustardwick/coordination/job_book.cpp
@@ -160,8 +160,8 @@
     if (!status.declared)
         return;
     const bool quarantined = clock_.now() < status.quarantined_until;
-    const bool accepts =
-        status.in_service && status.reported_open && !quarantined;
+    const bool accepts = status.in_service && status.reported_open &&
+                         !status.leaving && !quarantined;
     const auto* known = cell_.find_host(name);
     const bool same =
         known != nullptr && known->accepts_work == accepts &&
@@ -176,6 +176,19 @@
     cell_.set_host(status.description);
 }
 
+void job_book::note_leaving(
+    const std::function<bool(const std::string&)>& is_leaving)
+{
+    for (auto& [name, status] : hosts_)
+    {
+        const bool leaving = is_leaving(name);
+        if (std::exchange(status.leaving, leaving) == leaving)
+            continue;
+        note(leaving ? "host_leaving" : "host_stays", name, {});
+        update_host(name);
+    }
+}
+
 void job_book::place(const policy::task_id& id, const std::string& host)
 {
     auto* it = find_task(id);
--- a/src/mustardwick/coordination/job_book_test.cpp
+++ b/src/mustardwick/coordination/job_book_test.cpp
@@ -97,3 +97,26 @@
     second.load(jobs, rows);
     cr_expect(second.placed_per_host() == on_host(tasks));
 }
+
+// Guards against new tasks on hosts that the platform lists as leaving
+// (scenario host-list-lag), and against a host that gets none after it stays.
+Test(job_book, places_nothing_on_leaving_hosts)
+{
+    placed_job side;
+    job_record job;
+    job.specification.id = "k";
+    job.specification.tasks = 1;
+    job.specification.size = {100, 100, 0};
+    for (const bool leaving : {true, false})
+    {
+        side.book.note_leaving(
+            [leaving](const std::string&)
+            {
+                return leaving;
+            });
+        side.book.add_job(job);
+        side.book.plan();
+        cr_expect(side.book.placed_per_host() ==
+                  on_host(leaving ? tasks : tasks + 1));
+    }
+}
--- a/src/mustardwick/coordination/planner.cpp
+++ b/src/mustardwick/coordination/planner.cpp
@@ -328,6 +328,8 @@
     }
     sync_configuration();
     const bool applied = apply_reports();
+    if (links_.is_leaving)
+        book_->note_leaving(links_.is_leaving);
     read_inbox();
     if (links_.config.is_fresh())
     {
--- a/src/mustardwick/daemon/node.cpp
+++ b/src/mustardwick/daemon/node.cpp
@@ -106,7 +106,11 @@
                 {
                     return deliver(it);
                 },
-                poster()}),
+                poster(),
+                [this](const std::string& it)
+                {
+                    return is_leaving(it);
+                }}),
       vouching_(config_, registry_, promises_, clock_,
                 settings_.timing.freshness,
                 [this](const std::vector<std::string>& peers,
