Keep the runs of a restarted worker, found by a fault soak

Cause: a worker that starts again under its id accepts orders before its first report in the new life. An order under way could reach the new life later still, because its deadline is a time on the former life's clock. Ruled out: the stand-in; the worker's list named the runs that were forgotten. Change: runs that the new life lists stay; the others are stopped and given up once the stop is answered; nothing starts on a worker whose registered life is not the reported one.

--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -196,7 +196,8 @@
     void task_failed(job_run& job, const jobs::task_key& task, int run);
     void stop_run(host_state& host, running& it);
     void stop_step_runs(const job_run& job, std::int64_t occurrence, int step);
-    void forget_life(host_state& host);
+    /// @brief Settles the runs of a worker's former life.
+    void begin_life(host_state& host, const jobs::worker_report& report);
     void settle_lost_leases();
     void compare_with_report(host_state& host,
                              const jobs::worker_report& report);
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -99,7 +99,11 @@
 
 bool planner::is_usable(const host_state& host, std::string_view service) const
 {
-    return host.listed && host.adopted && host.reachable &&
+    // Between the restart of a worker and its first report, orders would meet
+    // a life of which nothing is known.
+    const bool same_life =
+        host.info.born_ms == 0 || host.info.born_ms == host.born_ms;
+    return host.listed && host.adopted && host.reachable && same_life &&
            !host.info.draining && host.info.service == service &&
            host.avoid_until <= clock_.now() &&
            !evacuated_.contains(host.info.failure_domain);
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -73,8 +73,7 @@
                   {{"worker", id},
                    {"born_ms", report.born_ms},
                    {"former_born_ms", host.born_ms}});
-        forget_life(host);
-        host.born_ms = report.born_ms;
+        begin_life(host, report);
     }
     host.reachable = true;
     host.adopted = true;
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <limits>
 
 #include "mustardwick/base/log.hpp"
 #include "mustardwick/dispatch/planner.hpp"
@@ -268,23 +269,30 @@
     requeue(end.task, end.run, end.checkpoint);
 }
 
-void planner::forget_life(host_state& host)
+void planner::begin_life(host_state& host, const jobs::worker_report& report)
 {
-    std::vector<run_key> keys;
-    for (const auto& [key, it] : host.runs)
-        keys.push_back(key);
-    for (const auto& key : keys)
+    std::set<run_key> listed;
+    for (const auto& it : report.running)
+        listed.insert({it.task, it.run});
+    for (const auto& it : report.ended)
+        listed.insert({it.task, it.run});
+    for (auto& [key, it] : host.runs)
     {
-        const auto it = host.runs.find(key);
-        if (it == host.runs.end() || it->second.phase == run_phase::recording)
+        if (it.phase == run_phase::recording || listed.contains(key))
             continue;
-        run_lost(host, key, "the worker's former life has ended");
+        // The order may have reached the new life after this report, or reach
+        // it yet: its deadline is a time on the former life's clock. Once a
+        // stop is answered the run cannot begin any more.
+        it.confirmed = false;
+        it.void_after_ms = std::numeric_limits<std::int64_t>::max();
+        it.stopped_clock_ms = 0;
+        stop_run(host, it);
     }
     host.undurable_ends.clear();
     host.applied_end = 0;
     host.clock_ms = 0;
-    host.adopted = false;
     host.failures_in_a_row = 0;
+    host.born_ms = report.born_ms;
 }
 
 void planner::settle_lost_leases()
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -30,6 +30,9 @@
 /// within this time.
 constexpr milliseconds silent_before_hand_over{1300};
 constexpr milliseconds newer_answer_margin{300};
+/// Members find out within two beats whether the store answers them. A small
+/// host takes over a second to load the state of a large cell.
+constexpr milliseconds larger_member_wait{400};
 /// A member that the store answered within this time can take the duty; its
 /// watch of the configuration is answered once a second.
 constexpr milliseconds recent_store_answer{1500};
@@ -268,9 +271,15 @@
     const auto patience =
         log_->is_silent() ? silent_before_hand_over : failing_before_hand_over;
     if (failing && env_.clock.now() - *failing > patience)
-        if (const auto member =
-                beats_->largest_with_store(*failing + newer_answer_margin))
+    {
+        const auto member =
+            beats_->largest_with_store(*failing + newer_answer_margin);
+        const bool is_small = member && member->capacity < small_host_capacity;
+        const bool waits = is_small && env_.clock.now() - *failing <
+                                           patience + larger_member_wait;
+        if (member && !waits)
             return step_down("the store answers another member", member);
+    }
     const bool settled =
         loaded_ && env_.clock.now() - started_ > time_before_handing_up;
     if (settled && !releasing_ && env_.options.capacity < small_host_capacity)
--- /dev/null
+++ b/testing/soak/hosted_soak.py
@@ -0,0 +1,376 @@
+#!/usr/bin/env python3
+"""Randomized fault soak of the hosted daemon.
+
+Runs real daemons as separate processes on loopback beside stand-ins of store,
+workers and advisor, sends jobs, injects faults in overlapping series, and
+checks the promises from what callers and workers see. One seed gives one
+sequence of faults and jobs; timing differs between runs.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import sys
+import tempfile
+import time
+
+import http_stub
+from store import Store
+from workers import Promises, Worker, serve_advice
+
+HOST = "127.0.0.1"
+ZONES = ["north", "south", "east"]
+KEYS = {"k-a": "a", "k-b": "b"}
+LARGEST_ACCOUNT_CPU = 40_000
+# Time that the cell has after the last fault to finish every accepted job:
+# the longest lease and a change of leaders, then the work itself.
+FINISH_S = 30
+STORE_FAULTS = ["busy", "reset", "silent", "slow", "lost", "late"]
+
+
+def free_ports(count):
+    """Returns port numbers that nothing listens on at the moment."""
+    sockets = []
+    for _ in range(count):
+        it = socket.socket()
+        it.bind((HOST, 0))
+        sockets.append(it)
+    ports = [it.getsockname()[1] for it in sockets]
+    for it in sockets:
+        it.close()
+    return ports
+
+
+class Daemon:
+    """One daemon process with ports of its own."""
+
+    def __init__(self, program, number, folder):
+        self.program = program
+        self.name = f"entry-{number}"
+        ports = free_ports(6)
+        self.callers, self.readiness, peers, metrics, self.store = ports[:5]
+        self.advice = ports[5]
+        self.log = folder / f"{self.name}.log"
+        self.settings = folder / f"{self.name}.json"
+        self.settings.write_text(json.dumps({
+            "name": self.name, "failure_domain": ZONES[number % len(ZONES)],
+            "callers": f"{HOST}:{self.callers}",
+            "readiness": f"{HOST}:{self.readiness}", "address": HOST,
+            "peer_port": peers, "metrics_port": metrics, "capacity": 0.25,
+            "store": f"{HOST}:{self.store}",
+            "advisor": f"{HOST}:{self.advice}",
+            "limits": {"max_lease_ms": 6000, "stop_grace_ms": 400}}))
+        self.process = None
+        self.restarting = asyncio.Lock()
+
+    async def start(self):
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.program, "--hosted", stdout=log, stderr=log,
+                env={**os.environ,
+                     "MUSTARDWICK_SETTINGS": str(self.settings)})
+
+    def running(self):
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number):
+        if self.running():
+            self.process.send_signal(number)
+
+    async def stop(self, number):
+        self.signal(signal.SIGCONT)
+        self.signal(number)
+        if self.process is not None:
+            await self.process.wait()
+
+
+class Soak:
+    """The cell, its callers and its faults."""
+
+    def __init__(self, options, folder):
+        self.options = options
+        self.random = random.Random(options.seed)
+        self.store = Store()
+        self.promises = Promises()
+        self.promises.accounts = {"a": 0, "b": LARGEST_ACCOUNT_CPU}
+        self.daemons = [Daemon(options.program, it, folder)
+                        for it in range(options.daemons)]
+        self.workers = [
+            Worker(f"w-{it}", HOST, port, ZONES[it % len(ZONES)],
+                   self.promises, self.store)
+            for it, port in enumerate(free_ports(options.workers))]
+        self.faults = 0
+        self.tasks = set()
+
+    def configure(self):
+        routes = [{"name": "plain", "host": "soak.example",
+                   "path_prefix": "/plain/", "service": "s", "priority": 1,
+                   "attempts": 4, "stretch": 3, "target_latency_ms": 2000},
+                  {"name": "asked", "host": "soak.example",
+                   "path_prefix": "/asked/", "service": "s", "priority": 0,
+                   "attempts": 4, "stretch": 3, "target_latency_ms": 1000,
+                   "advice": {"decide_ms": 10, "period_ms": 0.5,
+                              "valid_ms": 2500}}]
+        tenants = [{"name": "a", "api_keys": ["k-a"], "weight": 50},
+                   {"name": "b", "api_keys": ["k-b"], "weight": 50,
+                    "maximum": {"cpu": LARGEST_ACCOUNT_CPU}}]
+        self.store.put("op", "config", {
+            "version": 1, "routes": routes, "services": [{"name": "s"}],
+            "tenants": tenants, "limits": {}})
+
+    async def begin(self):
+        self.configure()
+        for it in self.workers:
+            await it.listen()
+        for it in self.daemons:
+            await self.store.listen(HOST, it.store)
+            await serve_advice(HOST, it.advice)
+            await it.start()
+
+    def spawn(self, work):
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    # Callers
+
+    def make_job(self):
+        key = self.random.choice(list(KEYS))
+        steps = []
+        for step in range(self.random.choice([1, 1, 2])):
+            steps.append({"count": self.random.randint(1, 4),
+                          "cpu": self.random.choice([500, 2000, 5000]),
+                          "mem_mb": 100, "estimate_ms": 500,
+                          "run_s": self.random.uniform(0.1, 1.5),
+                          "after": [step - 1] if step else []})
+        return {"key": key, "account": KEYS[key], "steps": steps,
+                "spec": f"spec-{self.random.random()}", "refused": False,
+                "maybe_accepted": False, "accepted": False,
+                "cancelled": False, "queue": self.random.choice(
+                    ["plain", "asked"])}
+
+    async def call(self, method, name, body=None):
+        job = self.promises.jobs[name]
+        daemon = random.choice(self.daemons)
+        path = f"/{job['queue']}/{name}"
+        headers = [f"Authorization: Bearer {job['key']}", "Deadline-Ms: 3000"]
+        return await http_stub.call(HOST, daemon.callers, method, path, body,
+                                    headers, 3.5)
+
+    async def submit(self, name):
+        """Hands a job in and repeats the call like a caller would."""
+        job = self.promises.jobs[name]
+        body = {"spec": job["spec"],
+                "steps": [{key: value for key, value in it.items()
+                           if key != "run_s"} for it in job["steps"]]}
+        for _ in range(5):
+            try:
+                status, _ = await self.call("POST", name, body)
+            except ConnectionRefusedError:
+                status = 503
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
+                    IndexError):
+                status = 504
+            if status == 200:
+                job["accepted"] = job["maybe_accepted"] = True
+                return
+            if status not in (429, 503):
+                job["maybe_accepted"] = True
+            job["refused"] = True
+            await asyncio.sleep(0.5)
+
+    async def watch(self, name):
+        """Asks for a job's state, cancels some, and checks what is shown."""
+        job = self.promises.jobs[name]
+        cancels = self.random.random() < 0.08
+        await self.submit(name)
+        if not job["accepted"]:
+            return
+        if cancels:
+            job["cancelled"] = True
+            await self.cancel(name)
+        while not job.get("shown"):
+            await asyncio.sleep(self.random.uniform(0.3, 1.0))
+            await self.query(name)
+
+    async def cancel(self, name):
+        for _ in range(20):
+            try:
+                status, _ = await self.call("DELETE", name)
+                if status in (200, 410):
+                    return
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
+                    IndexError):
+                pass
+            await asyncio.sleep(0.3)
+
+    async def query(self, name):
+        job = self.promises.jobs[name]
+        try:
+            status, body = await self.call("GET", name)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
+                IndexError):
+            return
+        if status == 410:
+            self.promises.violate(f"LOST {name} is not known")
+            job["shown"] = "lost"
+        state = body.get("state") if status == 200 else None
+        if state == "completed":
+            job["shown"] = state
+            for step, it in enumerate(job["steps"]):
+                for index in range(it["count"]):
+                    task = f"{name}.0.{step}.{index}"
+                    if task not in self.promises.done:
+                        self.promises.violate(f"MIXED {name} is completed, "
+                                              f"{task} has not ended")
+        if state in ("failed", "cancelled"):
+            job["shown"] = state
+            if state == "cancelled" and not job["cancelled"]:
+                self.promises.violate(f"LOST {name} is shown as cancelled")
+
+    async def send_jobs(self, until):
+        number = 0
+        while time.monotonic() < until:
+            number += 1
+            name = f"{self.options.seed & 0xffffffff:08x}{number:08x}"
+            self.promises.jobs[name] = self.make_job()
+            self.spawn(self.watch(name))
+            await asyncio.sleep(self.random.expovariate(self.options.rate))
+
+    # Faults
+
+    async def daemon_fault(self):
+        it = self.random.choice(self.daemons)
+        kind = self.random.choice(["kill", "term", "pause", "hup"])
+        length = self.random.uniform(0.2, 5)
+        self.note("daemon", it.name, kind, length)
+        if kind == "hup":
+            return it.signal(signal.SIGHUP)
+        if kind == "pause":
+            it.signal(signal.SIGSTOP)
+            await asyncio.sleep(length)
+            return it.signal(signal.SIGCONT)
+        await it.stop(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
+        await asyncio.sleep(0.5)
+        # Another fault may have ended the same process.
+        async with it.restarting:
+            if not it.running():
+                await it.start()
+        return None
+
+    async def store_fault(self):
+        kind = self.random.choice(STORE_FAULTS)
+        length = self.random.uniform(0.5, 5)
+        share = self.random.choice([0.3, 0.5, 1.0])
+        ports = [it.store for it in self.daemons
+                 if self.random.random() < share]
+        self.note("store", f"{len(ports)} daemons", kind, length)
+        for it in ports:
+            self.store.faults[it] = kind
+        await asyncio.sleep(length)
+        for it in ports:
+            self.store.faults.pop(it, None)
+
+    async def worker_fault(self):
+        it = self.random.choice(self.workers)
+        kind = self.random.choice(["crash", "cut", "late"])
+        length = self.random.uniform(0.5, 7)
+        self.note("worker", it.id, kind, length)
+        if kind == "crash":
+            it.crash()
+            self.store.drop("servers", it.id)
+            await asyncio.sleep(length)
+            it.begin_life()
+            return
+        it.fault = kind
+        await asyncio.sleep(length)
+        it.fault = None
+
+    def note(self, what, where, kind, length):
+        self.faults += 1
+        print(f"{time.monotonic() - self.began:7.2f} {what} {where} {kind} "
+              f"{length:.1f} s", flush=True)
+
+    async def inject(self, until):
+        faults = [self.daemon_fault, self.store_fault, self.worker_fault]
+        while time.monotonic() < until:
+            await asyncio.sleep(self.random.expovariate(self.options.faults))
+            self.spawn(self.random.choice(faults)())
+
+    # Verdict
+
+    def unfinished(self):
+        return [name for name, it in self.promises.jobs.items()
+                if it["accepted"] and not it.get("shown")]
+
+    async def run(self):
+        self.began = time.monotonic()
+        await self.begin()
+        await asyncio.sleep(2)
+        until = time.monotonic() + self.options.seconds
+        await asyncio.gather(self.send_jobs(until), self.inject(until))
+        deadline = time.monotonic() + FINISH_S
+        while time.monotonic() < deadline:
+            await asyncio.sleep(0.5)
+            if not self.tasks:
+                break
+        for name in self.unfinished():
+            self.promises.violate(f"LOST {name} has not ended {FINISH_S} s "
+                                  "after the last fault")
+        for name, it in self.promises.jobs.items():
+            if it.get("begun") and not it["maybe_accepted"]:
+                self.promises.violate(f"REFUSED {name} has begun, all attempts "
+                                      "were refused")
+        for it in self.daemons:
+            if not it.running():
+                self.promises.violate(f"FAULT {it.name} ended by itself")
+            else:
+                await it.stop(signal.SIGKILL)
+        jobs = self.promises.jobs.values()
+        accepted = sum(it["accepted"] for it in jobs)
+        print(f"seed {self.options.seed}: {len(jobs)} jobs, {accepted} "
+              f"accepted, {self.promises.starts} starts, {self.faults} faults,"
+              f" {len(self.promises.violations)} violations", flush=True)
+        if accepted * 4 < len(jobs):
+            self.promises.violate("less than a quarter of the jobs accepted")
+        return not self.promises.violations
+
+    def end(self):
+        for it in self.daemons:
+            if it.running():
+                it.process.kill()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--program", required=True, help="path of mustardwickd")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20,
+                        help="length of jobs and faults")
+    parser.add_argument("--daemons", type=int, default=5)
+    parser.add_argument("--workers", type=int, default=12)
+    parser.add_argument("--rate", type=float, default=10, help="jobs a second")
+    parser.add_argument("--faults", type=float, default=0.7,
+                        help="faults a second")
+    parser.add_argument("--keep", help="folder that keeps logs")
+    options = parser.parse_args()
+    random.seed(options.seed)
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = pathlib.Path(options.keep or temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        soak = Soak(options, folder)
+        try:
+            passed = asyncio.run(soak.run())
+        finally:
+            soak.end()
+        sys.stdout.flush()
+    sys.exit(0 if passed else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/testing/soak/http_stub.py
@@ -0,0 +1,85 @@
+"""A small HTTP/1.1 server for stand-ins that can withhold its answers."""
+
+import asyncio
+import json
+import urllib.parse
+
+
+class Withhold(Exception):
+    """The request was read; its connection ends without an answer."""
+
+
+class Request:
+    """One parsed request."""
+
+    def __init__(self, method, target, headers, body):
+        parts = urllib.parse.urlsplit(target)
+        self.method = method
+        self.path = parts.path
+        self.query = dict(urllib.parse.parse_qsl(parts.query, True))
+        self.headers = headers
+        self.body = json.loads(body) if body else {}
+
+
+async def read_request(reader):
+    """Returns the next request of a connection, or None at its end."""
+    line = await reader.readline()
+    if not line:
+        return None
+    method, target, _ = line.decode().split(" ", 2)
+    headers = {}
+    while True:
+        line = (await reader.readline()).decode().strip()
+        if not line:
+            break
+        name, value = line.split(":", 1)
+        headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Request(method, target, headers, body)
+
+
+async def serve(host, port, handle):
+    """Serves requests with handle(request), which returns (status, body)."""
+
+    async def connection(reader, writer):
+        try:
+            while (request := await read_request(reader)) is not None:
+                status, body = await handle(request)
+                data = json.dumps(body).encode()
+                writer.write(
+                    b"HTTP/1.1 %d -\r\nContent-Type: application/json\r\n"
+                    b"Content-Length: %d\r\n\r\n" % (status, len(data)) + data)
+                await writer.drain()
+        except (Withhold, ConnectionError, asyncio.IncompleteReadError,
+                asyncio.CancelledError, ValueError):
+            # Withheld answers, peers that are killed, and the end of the run.
+            pass
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(connection, host, port)
+
+
+async def call(host, port, method, path, body=None, headers=(), timeout=3.0):
+    """Sends one request on a new connection; returns (status, body)."""
+
+    async def exchange():
+        reader, writer = await asyncio.open_connection(host, port)
+        try:
+            data = json.dumps(body).encode() if body is not None else b""
+            lines = [f"{method} {path} HTTP/1.1", f"Host: soak.example",
+                     f"Content-Length: {len(data)}",
+                     "Content-Type: application/json", *headers]
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + data)
+            status = int((await reader.readline()).split()[1])
+            length = 0
+            while line := (await reader.readline()).strip():
+                name, value = line.decode().split(":", 1)
+                if name.lower() == "content-length":
+                    length = int(value)
+            text = await reader.readexactly(length)
+            return status, json.loads(text) if text else {}
+        finally:
+            writer.close()
+
+    return await asyncio.wait_for(exchange(), timeout)
--- /dev/null
+++ b/testing/soak/workers.py
@@ -0,0 +1,251 @@
+"""Stand-ins of workers and of the advisor, and the promises that are checked
+where tasks start and end."""
+
+import asyncio
+import random
+import time
+import zlib
+
+from http_stub import Withhold, serve
+
+STOP_S = 0.3
+LONGEST_LEASE_MS = 6000
+CPU = 8000
+
+
+class Promises:
+    """What callers were told and what workers saw; collects violations."""
+
+    def __init__(self):
+        self.jobs = {}
+        self.violations = []
+        self.running = {}
+        self.done = set()
+        self.noted_done = set()
+        self.accounts = {}
+        self.starts = 0
+
+    def violate(self, text):
+        self.violations.append(text)
+        print("VIOLATION", text, flush=True)
+
+    def step_of(self, task):
+        job, _, step, _ = task.split(".")
+        return self.jobs[job]["steps"][int(step)]
+
+    def used(self, account):
+        return sum(self.step_of(task)["cpu"] for task in self.running
+                   if self.jobs[task.split(".")[0]]["account"] == account)
+
+    def started(self, worker, task, run, payload):
+        self.starts += 1
+        job = self.jobs.get(task.split(".")[0])
+        if job is None or payload != job["spec"]:
+            return self.violate(f"UNASKED {task} on {worker.id}")
+        # Whether all attempts were refused is known only at the end: a start
+        # may come before the answer to the attempt that was accepted.
+        job["begun"] = True
+        if self.running.get(task):
+            self.violate(f"TWICE {task} run {run} on {worker.id}, also on "
+                         f"{[it.id for it in self.running[task]]}")
+        if task in self.noted_done:
+            self.violate(f"TWICE {task} run {run} after its end was noted")
+        prefix, _, step, _ = task.split(".")
+        for earlier in self.step_of(task).get("after", []):
+            for index in range(job["steps"][earlier]["count"]):
+                if f"{prefix}.0.{earlier}.{index}" not in self.done:
+                    self.violate(f"ORDER {task} before {earlier}.{index}")
+        self.running.setdefault(task, []).append(worker)
+        most = self.accounts[job["account"]]
+        size = self.step_of(task)["cpu"]
+        if most and self.used(job["account"]) > most * 1.1 + size:
+            self.violate(f"QUOTA {task} of {job['account']}")
+
+    def ended(self, worker, task, how):
+        if worker in self.running.get(task, []):
+            self.running[task].remove(worker)
+            if not self.running[task]:
+                del self.running[task]
+        if how == "done":
+            self.done.add(task)
+
+
+class Worker:
+    """One worker: runs tasks under leases and obeys the highest token."""
+
+    def __init__(self, name, host, port, zone, promises, store):
+        self.id = name
+        self.host = host
+        self.port = port
+        self.zone = zone
+        self.promises = promises
+        self.store = store
+        self.fault = None
+        self.up = False
+        self.sequence = 0
+        self.begin_life()
+
+    def begin_life(self):
+        self.born = int(time.time() * 1000)
+        self.began = time.monotonic()
+        self.token = 0
+        self.lease_ms = 0
+        self.runs = {}
+        self.highest = {}
+        self.ends = []
+        self.ended_count = 0
+        self.acknowledged = 0
+        self.changed = asyncio.Event()
+        self.up = True
+
+    def crash(self):
+        for (task, _) in list(self.runs):
+            self.promises.ended(self, task, "lost")
+        self.up = False
+        self.runs = {}
+
+    def clock_ms(self):
+        return int((time.monotonic() - self.began) * 1000) + 1
+
+    def stamp(self, body):
+        return {"clock_ms": self.clock_ms(), "born": self.born, **body}
+
+    def end(self, key, how):
+        if self.runs.pop(key, None) is None:
+            return
+        self.ended_count += 1
+        self.ends.append([self.ended_count, key[0], key[1], how, ""])
+        self.promises.ended(self, key[0], how)
+        self.changed.set()
+
+    async def tick(self):
+        """Ends runs that are done, failed or without a lease."""
+        while True:
+            await asyncio.sleep(0.02)
+            now = time.monotonic()
+            if self.runs and self.clock_ms() > self.lease_ms:
+                for key in list(self.runs):
+                    self.end(key, "lapsed")
+            for key, it in list(self.runs.items()):
+                if now >= it["ends"]:
+                    self.end(key, it["how"])
+
+    async def announce(self):
+        """Writes the entry of the registry with every heartbeat."""
+        while True:
+            if self.up and self.fault != "cut":
+                self.sequence += 1
+                self.store.put("servers", self.id, {
+                    "service": "s", "address": f"{self.host}:{self.port}",
+                    "zone": self.zone, "version": "1", "slots": 8,
+                    "state": "ready", "cold_remaining_ms": 0,
+                    "sequence": self.sequence, "born": self.born,
+                    "capacity": {"cpu": CPU, "mem_mb": 16000, "gpus": 0},
+                    "labels": ["a", "r1"]})
+            await asyncio.sleep(1.5)
+
+    def start_run(self, body):
+        key = (body["task"], body["run"])
+        if body.get("fencing_token", 0) < self.token:
+            return 409, self.stamp({"reason": "fence"})
+        self.token = body.get("fencing_token", 0)
+        if key in self.runs:
+            return 200, self.stamp({})
+        if body["run"] <= self.highest.get(body["task"], 0):
+            return 409, self.stamp({"reason": "old"})
+        if self.clock_ms() > body["deadline_ms"]:
+            return 409, self.stamp({"reason": "late"})
+        self.lease_ms = max(self.lease_ms,
+                            min(body["deadline_ms"],
+                                self.clock_ms() + LONGEST_LEASE_MS))
+        step = self.promises.step_of(body["task"])
+        used = sum(it["cpu"] for it in self.runs.values())
+        if used + step["cpu"] > CPU:
+            self.promises.violate(
+                f"LIMIT {body['task']} on {self.id}: {used} + {step['cpu']}")
+        self.promises.started(self, body["task"], body["run"], body["spec"])
+        how = "failed" if random.random() < 0.03 else "done"
+        self.runs[key] = {"cpu": step["cpu"], "how": how,
+                          "ends": time.monotonic() + step["run_s"]}
+        return 200, self.stamp({})
+
+    def stop_run(self, body):
+        if body.get("fencing_token", 0) < self.token:
+            return 409, self.stamp({"reason": "fence"})
+        self.token = body.get("fencing_token", 0)
+        key = (body["task"], body["run"])
+        self.highest[body["task"]] = max(body["run"],
+                                         self.highest.get(body["task"], 0))
+        if key in self.runs:
+            self.runs[key]["ends"] = time.monotonic() + STOP_S
+            self.runs[key]["how"] = "stopped"
+        return 200, self.stamp({})
+
+    async def hold(self, body):
+        if body["fencing_token"] < self.token:
+            return 409, self.stamp({"reason": "fence"})
+        self.token = body["fencing_token"]
+        if "deadline_ms" in body:
+            self.lease_ms = max(self.lease_ms,
+                                min(body["deadline_ms"],
+                                    self.clock_ms() + LONGEST_LEASE_MS))
+        for it in self.ends:
+            if it[0] <= body["ack_cursor"]:
+                self.promises.noted_done |= {it[1]} if it[3] == "done" else set()
+        self.ends = [it for it in self.ends if it[0] > body["ack_cursor"]]
+        self.changed.clear()
+        if not self.ends and body.get("wait_ms", 0) > 0:
+            try:
+                await asyncio.wait_for(self.changed.wait(),
+                                       body["wait_ms"] / 1000)
+            except asyncio.TimeoutError:
+                pass
+        running = [[task, run, "", 50, it["cpu"]]
+                   for (task, run), it in self.runs.items()]
+        return 200, self.stamp({"running": running,
+                                "finished": self.ends[:500]})
+
+    async def handle(self, request):
+        if not self.up or self.fault == "cut":
+            await asyncio.sleep(4)
+            raise Withhold
+        if request.headers.get("expect-instance", self.id) != self.id:
+            return 421, self.stamp({})
+        born = self.born
+        is_order = request.path != "/v1/hold"
+        late = self.fault == "late" and is_order and random.random() < 0.3
+        if late:
+            await asyncio.sleep(random.uniform(2, 4))
+        if born != self.born or not self.up:
+            raise Withhold
+        if request.path == "/v1/run-start":
+            answer = self.start_run(request.body)
+        elif request.path == "/v1/run-stop":
+            answer = self.stop_run(request.body)
+        elif request.path == "/v1/hold":
+            answer = await self.hold(request.body)
+        else:
+            answer = 404, {}
+        if late or born != self.born:
+            raise Withhold
+        return answer
+
+    async def listen(self):
+        asyncio.ensure_future(self.tick())
+        asyncio.ensure_future(self.announce())
+        return await serve(self.host, self.port, self.handle)
+
+
+async def serve_advice(host, port):
+    """Answers one call at a time; allows seven workers in ten for a step."""
+    turn = asyncio.Lock()
+
+    async def handle(request):
+        async with turn:
+            await asyncio.sleep(0.01 + 0.0005 * len(request.body["workers"]))
+        step = request.body["step"]
+        allowed = [[it, "t"] for it in request.body["workers"]
+                   if zlib.crc32((step + it).encode()) % 10 < 7]
+        return 200, {"allowed": allowed}
+
+    return await serve(host, port, handle)
