--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -106,7 +106,7 @@
     /// @brief Forgets the jobs of which no transaction has been sent, and tells
     /// their callers. Returns their number.
     std::size_t refuse_unstored();
-    void cancel(const std::string& id, cancelled done);
+    void cancel(const std::string& id, const cancelled& done);
     std::optional<jobs::job_state> state_of(const std::string& id) const;
     /// @brief Accepted jobs of a queue of which no task has started.
     std::size_t waiting_jobs(std::string_view queue) const;
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -178,7 +178,7 @@
     placement_due_ = true;
 }
 
-void planner::cancel(const std::string& id, cancelled done)
+void planner::cancel(const std::string& id, const cancelled& done)
 {
     auto* job = find_job(id);
     if (job == nullptr)
