Split the decisions about room and questions into smaller pieces

Moves reservations and stops for all-at-once steps into planner_room.cpp, the choice of hosts to ask about into narrow_question(), and the advisor's answer of the tests into their fixture.

--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -165,6 +165,7 @@
         std::int64_t usable = 0;
     };
     struct candidate;
+    struct question_need;
     struct ready_step;
 
     // planner.cpp
@@ -178,7 +179,15 @@
     account_usage& usage_of(const std::string& account);
     void release_starts(std::vector<start_order> starts);
 
-    // planner_preempt.cpp
+    // planner_room.cpp
+    /// @brief Tasks of a step for which a host has room now or soon.
+    int potential_slots(const host_state& host, const ready_step& step) const;
+    /// @brief False while more urgent all-at-once steps wait for all the room
+    /// that can be planned ahead.
+    bool is_next_for_room(const ready_step& step) const;
+    /// @brief Keeps room on hosts that are known to be allowed for an
+    /// all-at-once step until all its tasks fit.
+    void reserve_room(const ready_step& step);
     /// @brief The task can be stopped and resumed later at little cost, and is
     /// less urgent than the step.
     bool may_stop_for(const ready_step& step, const running& it);
@@ -223,9 +232,6 @@
     /// @brief Most processors of a service's hosts are in use.
     bool is_busy(std::string_view service) const;
     processors processors_of(std::string_view service) const;
-    /// @brief False while more urgent all-at-once steps wait for all the room
-    /// that can be planned ahead.
-    bool is_next_for_room(const ready_step& step) const;
     std::vector<candidate> find_candidates(const ready_step& step,
                                            std::vector<candidate>& unknown);
     const job_context& context_of(job_run& job);
@@ -238,11 +244,6 @@
                                 const ready_step& step) const;
     /// @brief Tasks of a step for which a host has room now.
     int slots_on(const host_state& host, const ready_step& step) const;
-    /// @brief Tasks of a step for which a host has room now or soon.
-    int potential_slots(const host_state& host, const ready_step& step) const;
-    /// @brief Keeps room on hosts that are known to be allowed for an
-    /// all-at-once step until all its tasks fit.
-    void reserve_room(const ready_step& step);
     static std::int64_t objective_of(const job_run& job,
                                      const jobs::queue& queue);
     policy::waiting_step outlook_inputs(job_run& job);
@@ -250,6 +251,10 @@
                 const candidate& where);
     void hold_hosts(const advice_question& question);
     void ask_question(const ready_step& step, std::vector<std::string> workers);
+    /// @brief Leaves the hosts about which an all-at-once step should ask.
+    question_need narrow_question(const ready_step& step,
+                                  std::vector<candidate>& unknown,
+                                  int missing) const;
     void ask_advice(const ready_step& step, std::vector<candidate> unknown,
                     int missing);
 
--- a/src/mustardwick/dispatch/advice_test.cpp
+++ b/src/mustardwick/dispatch/advice_test.cpp
@@ -8,19 +8,6 @@
 using namespace mustardwick::dispatch;
 using namespace mustardwick::dispatch::test;
 
-namespace
-{
-
-std::vector<advice_ticket> allow_all(const advice_question& question)
-{
-    std::vector<advice_ticket> out;
-    for (const auto& it : question.workers)
-        out.push_back({it, "t-" + it});
-    return out;
-}
-
-} // namespace
-
 // Guards against a start without the ticket that its worker asks for, and
 // against one with a ticket that has expired.
 Test(advice, starts_with_a_valid_ticket)
--- a/src/mustardwick/dispatch/placement_test.cpp
+++ b/src/mustardwick/dispatch/placement_test.cpp
@@ -11,14 +11,6 @@
 namespace
 {
 
-std::vector<advice_ticket> allow_all(const advice_question& question)
-{
-    std::vector<advice_ticket> out;
-    for (const auto& it : question.workers)
-        out.push_back({it, "t"});
-    return out;
-}
-
 /// Two hosts, each with a task of 20 of its 32 cores.
 struct full_cell : planner_fixture
 {
--- a/src/mustardwick/dispatch/planner_advice.cpp
+++ b/src/mustardwick/dispatch/planner_advice.cpp
@@ -38,6 +38,65 @@
     return may_ask || state.tickets_until > now + ticket_reserve;
 }
 
+/// @brief What a question has to find.
+struct planner::question_need
+{
+    /// Tasks that still need a host; 0 when there is nothing to ask.
+    int tasks = 0;
+    /// Share of the hosts that is expected to be allowed.
+    double share = 1.0;
+};
+
+planner::question_need planner::narrow_question(const ready_step& step,
+                                                std::vector<candidate>& unknown,
+                                                int missing) const
+{
+    const auto& tickets = step.state().tickets;
+    const auto is_known = [&](const candidate& it)
+    {
+        return tickets.contains(it.host->info.id);
+    };
+    const auto found = allowed_share_.find(step.queue->name);
+    const double share = found->second.value();
+    // Tasks that are likely to fit now, and on hosts that are known to be
+    // allowed now or soon.
+    double likely = 0;
+    int now = 0;
+    int soon = 0;
+    for (const auto& it : unknown)
+    {
+        const bool known = is_known(it);
+        likely += (known ? 1.0 : share) * std::min(it.slots, missing);
+        now += known ? it.slots : 0;
+        soon += known ? potential_slots(*it.host, step) : 0;
+    }
+    if (likely >= missing * room_margin)
+    {
+        std::erase_if(unknown,
+                      [](const candidate& it)
+                      {
+                          return it.slots == 0;
+                      });
+        return {missing, share};
+    }
+    if (now >= missing)
+    {
+        // Only the tickets have to be renewed.
+        std::erase_if(unknown,
+                      [&](const candidate& it)
+                      {
+                          return it.slots == 0 || !is_known(it);
+                      });
+        return {missing, 1.0};
+    }
+    // Room that is reserved on known hosts becomes free; other hosts are full
+    // too.
+    if (soon >= missing)
+        return {};
+    std::erase_if(unknown, is_known);
+    return {missing - soon, share};
+}
+
 void planner::ask_advice(const ready_step& step, std::vector<candidate> unknown,
                          int missing)
 {
@@ -45,43 +104,15 @@
     if (state.open_questions > 0 || state.next_question > clock_.now() ||
         advice_.free == 0)
         return;
+    question_need need{missing, allowed_share_[step.queue->name].value()};
+    if (step.may_reserve())
+        need = narrow_question(step, unknown, missing);
+    if (need.tasks == 0)
+        return;
     const auto is_known = [&](const candidate& it)
     {
         return state.tickets.contains(it.host->info.id);
     };
-    double share = allowed_share_[step.queue->name].value();
-    if (step.may_reserve())
-    {
-        // Tasks that are likely to fit now, and on hosts that are known to be
-        // allowed now or soon.
-        double likely = 0;
-        int now = 0;
-        int soon = 0;
-        for (const auto& it : unknown)
-        {
-            const bool known = is_known(it);
-            likely += (known ? 1.0 : share) * std::min(it.slots, missing);
-            now += known ? it.slots : 0;
-            soon += known ? potential_slots(*it.host, step) : 0;
-        }
-        const bool has_room = likely >= missing * room_margin;
-        if (!has_room && now < missing && soon >= missing)
-            // Room is kept there and becomes free; other hosts are full too.
-            return;
-        const bool only_known = !has_room && now >= missing;
-        std::erase_if(unknown,
-                      [&](const candidate& it)
-                      {
-                          if (has_room || only_known)
-                              return it.slots == 0 ||
-                                     (only_known && !is_known(it));
-                          return is_known(it);
-                      });
-        if (!has_room && !only_known)
-            missing -= soon;
-        if (only_known)
-            share = 1.0;
-    }
     const auto size = charged_size(step.spec()).millicpus;
     const bool is_small =
         !unknown.empty() && size * small_tasks_per_host <=
@@ -109,7 +140,7 @@
     slots.reserve(unknown.size());
     for (const auto& it : unknown)
         slots.push_back(std::max(1, it.slots));
-    const auto n = policy::hosts_to_ask(slots, missing, share);
+    const auto n = policy::hosts_to_ask(slots, need.tasks, need.share);
     const auto questions = policy::questions_for(n, advice_.free);
     for (std::size_t it = 0; it < questions; ++it)
     {
--- a/src/mustardwick/dispatch/planner_fixture_test.hpp
+++ b/src/mustardwick/dispatch/planner_fixture_test.hpp
@@ -68,6 +68,15 @@
     return out;
 }
 
+/// The advisor's answer that allows every host.
+inline std::vector<advice_ticket> allow_all(const advice_question& question)
+{
+    std::vector<advice_ticket> out;
+    for (const auto& it : question.workers)
+        out.push_back({it, "t-" + it});
+    return out;
+}
+
 /// A planner with a manual clock and workers whose clocks follow it.
 class planner_fixture
 {
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -21,19 +21,10 @@
 constexpr std::int64_t default_estimate_ms = 1000;
 /// A completion is worth something up to this many times the objective.
 constexpr int late_factor = 3;
-/// Part of a full host that is expected to become free soon: tasks end within
-/// seconds.
-constexpr int full_host_share = 2;
 /// Work that earns nothing may wait for more valuable work only while more
 /// than this share of a service's processors is in use; below half, every
 /// task that fits has to start.
 constexpr double busy_share = 0.6;
-/// Share of a service's processors that may be kept for all-at-once steps;
-/// what is kept is idle until the last task fits.
-constexpr double reserved_share = 0.1;
-/// Share for which hosts are sought in advance, so that advice is there when
-/// room can be kept.
-constexpr double planned_share = 0.2;
 /// Hosts in the question that the objective of a step allows for.
 constexpr int hosts_in_objective = 30;
 
@@ -79,22 +70,6 @@
                              }));
 }
 
-/// Tasks of a size that fit; a task that takes nothing always fits.
-int units_in(const policy::resources& space, const policy::resources& size,
-             int most)
-{
-    std::int64_t n = most;
-    const auto bound = [&n](std::int64_t have, std::int64_t need)
-    {
-        if (need > 0)
-            n = std::min(n, have / need);
-    };
-    bound(space.millicpus, size.millicpus);
-    bound(space.memory_mb, size.memory_mb);
-    bound(space.accelerators, size.accelerators);
-    return int(std::max<std::int64_t>(n, 0));
-}
-
 } // namespace
 
 bool planner::is_usable(const host_state& host, std::string_view service) const
@@ -346,18 +321,6 @@
     return n == 0 ? 0 : std::min(n, most_tasks_on(host, step));
 }
 
-int planner::potential_slots(const host_state& host,
-                             const ready_step& step) const
-{
-    const int n =
-        units_in(host.info.capacity, charged_size(step.spec()), step.waiting);
-    if (n == 0)
-        return 0;
-    const int soon = std::max(1, n / full_host_share);
-    return std::min(std::max(soon, slots_on(host, step)),
-                    most_tasks_on(host, step));
-}
-
 std::vector<planner::candidate>
 planner::find_candidates(const ready_step& step,
                          std::vector<candidate>& unknown)
@@ -462,58 +425,6 @@
     return placed == affordable;
 }
 
-bool planner::is_next_for_room(const ready_step& step) const
-{
-    if (!step.may_reserve())
-        return true;
-    const auto whole = processors_of(step.queue->service).usable;
-    return double(round_planned_) < double(whole) * planned_share;
-}
-
-void planner::reserve_room(const ready_step& step)
-{
-    if (!step.may_reserve())
-        return;
-    const auto whole = processors_of(step.queue->service).usable;
-    const bool keeps = double(round_planned_) < double(whole) * reserved_share;
-    round_planned_ += charged_size(step.spec()).millicpus * step.waiting;
-    if (!keeps)
-        return;
-    struct place
-    {
-        host_state* host;
-        int now;
-        int soon;
-    };
-    std::vector<place> places;
-    for (const auto& [id, ticket] : step.state().tickets)
-    {
-        const auto it = hosts_.find(id);
-        if (it == hosts_.end() || step.state().failed_on.contains(id) ||
-            !is_usable(it->second, step.queue->service))
-            continue;
-        const int soon = potential_slots(it->second, step);
-        if (soon > 0)
-            places.push_back({&it->second, slots_on(it->second, step), soon});
-    }
-    std::stable_sort(places.begin(), places.end(),
-                     [](const auto& left, const auto& right)
-                     {
-                         return left.host->free().millicpus >
-                                right.host->free().millicpus;
-                     });
-    int missing = step.waiting;
-    const auto reserve = [&](host_state& host, int n)
-    {
-        for (; n > 0 && missing > 0; --n, --missing)
-            host.reserved += charged_size(step.spec());
-    };
-    for (const auto& it : places)
-        reserve(*it.host, it.now);
-    for (const auto& it : places)
-        reserve(*it.host, it.soon - it.now);
-}
-
 void planner::assign(const ready_step& step, int index, int run,
                      const candidate& where)
 {
--- a/src/mustardwick/dispatch/planner_preempt.cpp
+++ b/src/mustardwick/dispatch/planner_room.cpp
@@ -26,8 +26,82 @@
 /// task on the hosts that the step may use.
 constexpr int searches_per_round = 2;
 
+/// Part of a full host that is expected to become free soon: tasks end within
+/// seconds.
+constexpr int full_host_share = 2;
+/// Share of a service's processors that may be kept for all-at-once steps;
+/// what is kept is idle until the last task fits.
+constexpr double reserved_share = 0.1;
+/// Share for which hosts are sought in advance, so that advice is there when
+/// room can be kept.
+constexpr double planned_share = 0.2;
+
 } // namespace
 
+int planner::potential_slots(const host_state& host,
+                             const ready_step& step) const
+{
+    const int n =
+        units_in(host.info.capacity, charged_size(step.spec()), step.waiting);
+    if (n == 0)
+        return 0;
+    const int soon = std::max(1, n / full_host_share);
+    return std::min(std::max(soon, slots_on(host, step)),
+                    most_tasks_on(host, step));
+}
+
+bool planner::is_next_for_room(const ready_step& step) const
+{
+    if (!step.may_reserve())
+        return true;
+    const auto whole = processors_of(step.queue->service).usable;
+    return double(round_planned_) < double(whole) * planned_share;
+}
+
+void planner::reserve_room(const ready_step& step)
+{
+    if (!step.may_reserve())
+        return;
+    const auto whole = processors_of(step.queue->service).usable;
+    const bool keeps = double(round_planned_) < double(whole) * reserved_share;
+    round_planned_ += charged_size(step.spec()).millicpus * step.waiting;
+    if (!keeps)
+        return;
+    struct place
+    {
+        host_state* host;
+        int now;
+        int soon;
+    };
+    std::vector<place> places;
+    for (const auto& [id, ticket] : step.state().tickets)
+    {
+        const auto it = hosts_.find(id);
+        if (it == hosts_.end() || step.state().failed_on.contains(id) ||
+            !is_usable(it->second, step.queue->service))
+            continue;
+        const int soon = potential_slots(it->second, step);
+        if (soon > 0)
+            places.push_back({&it->second, slots_on(it->second, step), soon});
+    }
+    std::stable_sort(places.begin(), places.end(),
+                     [](const auto& left, const auto& right)
+                     {
+                         return left.host->free().millicpus >
+                                right.host->free().millicpus;
+                     });
+    int missing = step.waiting;
+    const auto reserve = [&](host_state& host, int n)
+    {
+        for (; n > 0 && missing > 0; --n, --missing)
+            host.reserved += charged_size(step.spec());
+    };
+    for (const auto& it : places)
+        reserve(*it.host, it.now);
+    for (const auto& it : places)
+        reserve(*it.host, it.soon - it.now);
+}
+
 bool planner::may_stop_for(const ready_step& step, const running& it)
 {
     // A task is moved once at most, so that it gets done in the end.
--- a/src/mustardwick/dispatch/ready_step.hpp
+++ b/src/mustardwick/dispatch/ready_step.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+
 #include "mustardwick/dispatch/planner.hpp"
 
 namespace mustardwick::dispatch
@@ -59,4 +61,20 @@
     }
 };
 
+/// @brief Tasks of a size that fit; a task that takes nothing always fits.
+inline int units_in(const policy::resources& space,
+                    const policy::resources& size, int most)
+{
+    std::int64_t n = most;
+    const auto bound = [&n](std::int64_t have, std::int64_t need)
+    {
+        if (need > 0)
+            n = std::min(n, have / need);
+    };
+    bound(space.millicpus, size.millicpus);
+    bound(space.memory_mb, size.memory_mb);
+    bound(space.accelerators, size.accelerators);
+    return int(std::max<std::int64_t>(n, 0));
+}
+
 } // namespace mustardwick::dispatch
