Crash a stand-in worker of the soak only while it is up

Ruled out: the daemons; the worker's birth time changed without a crash. Change: a worker that is down is not crashed again.

--- a/testing/soak/hosted_soak.py
+++ b/testing/soak/hosted_soak.py
@@ -285,6 +285,9 @@
         length = self.random.uniform(0.5, 7)
         self.note("worker", it.id, kind, length)
         if kind == "crash":
+            # It is down already: the other fault begins its next life.
+            if not it.up:
+                return
             it.crash()
             self.store.drop("servers", it.id)
             await asyncio.sleep(length)
