--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -102,7 +102,7 @@
     /// @{
     /// @brief Calls back once the job is durable; the same id is one job.
     void submit(
-        jobs::job specification, accepted done, refused no = [] {});
+        jobs::job specification, accepted done, refused on_refused = [] {});
     /// @brief Forgets the jobs of which no transaction has been sent, and tells
     /// their callers. Returns their number.
     std::size_t refuse_unstored();
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -105,7 +105,7 @@
     }
 }
 
-void planner::submit(jobs::job specification, accepted done, refused no)
+void planner::submit(jobs::job specification, accepted done, refused on_refused)
 {
     const auto id = specification.id;
     if (auto* known = find_job(id))
@@ -113,7 +113,7 @@
         // The same id is the same job, also when its caller asks again.
         if (known->durable)
             return done();
-        known->replies.push_back({std::move(done), std::move(no)});
+        known->replies.push_back({std::move(done), std::move(on_refused)});
         return mark_dirty(*known);
     }
     auto& job = jobs_[id];
@@ -126,7 +126,7 @@
         job.specification.over_share =
             !usage_of(account->first)
                  .share.take(job.arrived, account->second.weight);
-    job.replies.push_back({std::move(done), std::move(no)});
+    job.replies.push_back({std::move(done), std::move(on_refused)});
     active_[job.number] = id;
     if (job.specification.occurrences == 0)
         open_occurrence(job, 0);
