--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -193,7 +193,9 @@
     bool may_stop_for(const ready_step& step, const running& it);
     /// @brief Stops tasks so that an all-at-once step fits on the hosts that
     /// are known to be allowed.
-    bool make_room(const ready_step& step);
+    void make_room(const ready_step& step);
+    /// @brief Usable hosts that are known to be allowed for a step.
+    std::vector<host_state*> known_hosts(const ready_step& step);
 
     // planner_runs.cpp
     void add_run(host_state& host, const job_run& job,
@@ -254,7 +256,7 @@
     /// @brief Leaves the hosts about which an all-at-once step should ask.
     question_need narrow_question(const ready_step& step,
                                   std::vector<candidate>& unknown,
-                                  int missing) const;
+                                  const question_need& whole) const;
     void ask_advice(const ready_step& step, std::vector<candidate> unknown,
                     int missing);
 
--- a/include/mustardwick/jobs/record.hpp
+++ b/include/mustardwick/jobs/record.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -36,6 +37,16 @@
     }
 };
 
+/// @brief All tasks of a step have ended well.
+inline bool is_step_done(const std::vector<task_record>& tasks)
+{
+    return std::all_of(tasks.begin(), tasks.end(),
+                       [](const auto& it)
+                       {
+                           return it.state == task_state::done;
+                       });
+}
+
 /// @brief Durable state of one occurrence of a job.
 struct occurrence_record
 {
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -27,15 +27,6 @@
         .count();
 }
 
-bool all_done(const std::vector<jobs::task_record>& tasks)
-{
-    return std::all_of(tasks.begin(), tasks.end(),
-                       [](const auto& it)
-                       {
-                           return it.state == jobs::task_state::done;
-                       });
-}
-
 } // namespace
 
 planner::planner(const base::clock& time, planner_options options,
@@ -223,11 +214,15 @@
         std::move(job.replies.begin(), job.replies.end(),
                   std::back_inserter(replies));
         active_.erase(job.number);
-        std::erase(dirty_, id);
         jobs_.erase(id);
         log_event(log_level::warning, "planner", "job_forgotten",
                   {{"job", id}, {"reason", "the store does not answer"}});
     }
+    std::erase_if(dirty_,
+                  [&](const std::string& id)
+                  {
+                      return !jobs_.contains(id);
+                  });
     for (const auto& it : replies)
         it.refused();
     return ids.size();
@@ -304,7 +299,7 @@
     tasks[std::size_t(task.index)].state = jobs::task_state::done;
     mark_dirty(job);
     placement_due_ = true;
-    if (std::all_of(it->tasks.begin(), it->tasks.end(), all_done))
+    if (std::all_of(it->tasks.begin(), it->tasks.end(), jobs::is_step_done))
         close_occurrence(job, std::size_t(it - open.begin()));
 }
 
--- a/src/mustardwick/dispatch/planner_advice.cpp
+++ b/src/mustardwick/dispatch/planner_advice.cpp
@@ -47,17 +47,12 @@
     double share = 1.0;
 };
 
-planner::question_need planner::narrow_question(const ready_step& step,
-                                                std::vector<candidate>& unknown,
-                                                int missing) const
+planner::question_need
+planner::narrow_question(const ready_step& step,
+                         std::vector<candidate>& unknown,
+                         const question_need& whole) const
 {
-    const auto& tickets = step.state().tickets;
-    const auto is_known = [&](const candidate& it)
-    {
-        return tickets.contains(it.host->info.id);
-    };
-    const auto found = allowed_share_.find(step.queue->name);
-    const double share = found->second.value();
+    const int missing = whole.tasks;
     // Tasks that are likely to fit now, and on hosts that are known to be
     // allowed now or soon.
     double likely = 0;
@@ -65,8 +60,8 @@
     int soon = 0;
     for (const auto& it : unknown)
     {
-        const bool known = is_known(it);
-        likely += (known ? 1.0 : share) * std::min(it.slots, missing);
+        const bool known = step.knows(it);
+        likely += (known ? 1.0 : whole.share) * std::min(it.slots, missing);
         now += known ? it.slots : 0;
         soon += known ? potential_slots(*it.host, step) : 0;
     }
@@ -77,7 +72,7 @@
                       {
                           return it.slots == 0;
                       });
-        return {missing, share};
+        return whole;
     }
     if (now >= missing)
     {
@@ -85,7 +80,7 @@
         std::erase_if(unknown,
                       [&](const candidate& it)
                       {
-                          return it.slots == 0 || !is_known(it);
+                          return it.slots == 0 || !step.knows(it);
                       });
         return {missing, 1.0};
     }
@@ -93,8 +88,12 @@
     // too.
     if (soon >= missing)
         return {};
-    std::erase_if(unknown, is_known);
-    return {missing - soon, share};
+    std::erase_if(unknown,
+                  [&](const candidate& it)
+                  {
+                      return step.knows(it);
+                  });
+    return {missing - soon, whole.share};
 }
 
 void planner::ask_advice(const ready_step& step, std::vector<candidate> unknown,
@@ -106,13 +105,9 @@
         return;
     question_need need{missing, allowed_share_[step.queue->name].value()};
     if (step.may_reserve())
-        need = narrow_question(step, unknown, missing);
+        need = narrow_question(step, unknown, need);
     if (need.tasks == 0)
         return;
-    const auto is_known = [&](const candidate& it)
-    {
-        return state.tickets.contains(it.host->info.id);
-    };
     const auto size = charged_size(step.spec()).millicpus;
     const bool is_small =
         !unknown.empty() && size * small_tasks_per_host <=
@@ -121,8 +116,8 @@
     std::stable_sort(unknown.begin(), unknown.end(),
                      [&](const auto& left, const auto& right)
                      {
-                         const bool left_known = is_known(left);
-                         const bool right_known = is_known(right);
+                         const bool left_known = step.knows(left);
+                         const bool right_known = step.knows(right);
                          if (left_known != right_known)
                              return left_known;
                          if (left.near_data != right.near_data)
@@ -148,8 +143,7 @@
         std::vector<std::string> workers;
         for (std::size_t host = it; host < n; host += questions)
             workers.push_back(unknown[host].host->info.id);
-        if (!workers.empty())
-            ask_question(step, std::move(workers));
+        ask_question(step, std::move(workers));
     }
 }
 
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -52,15 +52,6 @@
     return longest;
 }
 
-bool is_step_done(const std::vector<jobs::task_record>& tasks)
-{
-    return std::all_of(tasks.begin(), tasks.end(),
-                       [](const auto& it)
-                       {
-                           return it.state == jobs::task_state::done;
-                       });
-}
-
 int count_waiting(const std::vector<jobs::task_record>& tasks)
 {
     return int(std::count_if(tasks.begin(), tasks.end(),
@@ -126,11 +117,12 @@
     if (job.chain_left_ms < 0)
     {
         const auto& tasks = job.record.open.front().tasks;
-        job.chain_left_ms = longest_chain(job.specification.steps, 0,
-                                          [&](std::size_t it)
-                                          {
-                                              return !is_step_done(tasks[it]);
-                                          });
+        job.chain_left_ms =
+            longest_chain(job.specification.steps, 0,
+                          [&](std::size_t it)
+                          {
+                              return !jobs::is_step_done(tasks[it]);
+                          });
     }
     policy::waiting_step out;
     out.priority = job.context.queue->priority;
@@ -174,7 +166,7 @@
                     spec.after.begin(), spec.after.end(),
                     [&](int earlier)
                     {
-                        return !is_step_done(tasks[std::size_t(earlier)]);
+                        return !jobs::is_step_done(tasks[std::size_t(earlier)]);
                     });
                 // Work of an account at its maximum can neither start nor be
                 // asked about, however much of it waits.
--- a/src/mustardwick/dispatch/planner_room.cpp
+++ b/src/mustardwick/dispatch/planner_room.cpp
@@ -58,6 +58,19 @@
     return double(round_planned_) < double(whole) * planned_share;
 }
 
+std::vector<host_state*> planner::known_hosts(const ready_step& step)
+{
+    std::vector<host_state*> out;
+    for (const auto& [id, ticket] : step.state().tickets)
+    {
+        const auto it = hosts_.find(id);
+        if (it != hosts_.end() && !step.state().failed_on.contains(id) &&
+            is_usable(it->second, step.queue->service))
+            out.push_back(&it->second);
+    }
+    return out;
+}
+
 void planner::reserve_room(const ready_step& step)
 {
     if (!step.may_reserve())
@@ -74,15 +87,11 @@
         int soon;
     };
     std::vector<place> places;
-    for (const auto& [id, ticket] : step.state().tickets)
+    for (auto* host : known_hosts(step))
     {
-        const auto it = hosts_.find(id);
-        if (it == hosts_.end() || step.state().failed_on.contains(id) ||
-            !is_usable(it->second, step.queue->service))
-            continue;
-        const int soon = potential_slots(it->second, step);
+        const int soon = potential_slots(*host, step);
         if (soon > 0)
-            places.push_back({&it->second, slots_on(it->second, step), soon});
+            places.push_back({host, slots_on(*host, step), soon});
     }
     std::stable_sort(places.begin(), places.end(),
                      [](const auto& left, const auto& right)
@@ -122,45 +131,39 @@
            inputs.objective_left_ms - inputs.chain_left_ms > least_slack_ms;
 }
 
-bool planner::make_room(const ready_step& step)
+void planner::make_room(const ready_step& step)
 {
     auto& state = step.state();
     const auto now = clock_.now();
     const double run_ms = double(step.spec().estimate_ms);
     if (double(options_.stop_grace.count()) > run_ms * most_stop_overhead)
-        return false;
+        return;
     if (!step.may_reserve() || round_searches_ >= searches_per_round ||
         state.room_made_until > now)
-        return false;
+        return;
     ++round_searches_;
-    std::vector<host_state*> hosts;
+    const auto hosts = known_hosts(step);
     std::vector<policy::host_room> rooms;
     std::vector<std::vector<run_key>> stoppable;
-    for (const auto& [id, ticket] : state.tickets)
+    for (const auto* host : hosts)
     {
-        const auto found = hosts_.find(id);
-        if (found == hosts_.end() || state.failed_on.contains(id) ||
-            !is_usable(found->second, step.queue->service))
-            continue;
-        auto& host = found->second;
         policy::host_room room;
-        room.free = open_room(host, step);
-        room.most = most_tasks_on(host, step);
+        room.free = open_room(*host, step);
+        room.most = most_tasks_on(*host, step);
         std::vector<run_key> keys;
-        for (const auto& [key, it] : host.runs)
+        for (const auto& [key, it] : host->runs)
             if (may_stop_for(step, it))
             {
                 room.stoppable.push_back(it.size);
                 keys.push_back(key);
             }
-        hosts.push_back(&host);
         rooms.push_back(std::move(room));
         stoppable.push_back(std::move(keys));
     }
     const auto choice =
         policy::make_room(rooms, charged_size(step.spec()), step.waiting);
     if (!choice)
-        return false;
+        return;
     state.room_made_until = now + options_.stop_grace + start_margin;
     std::size_t stopped = 0;
     for (const auto& it : *choice)
@@ -181,7 +184,6 @@
                {"tasks", step.waiting},
                {"stopped_tasks", stopped},
                {"hosts", choice->size()}});
-    return true;
 }
 
 } // namespace mustardwick::dispatch
--- a/src/mustardwick/dispatch/ready_step.hpp
+++ b/src/mustardwick/dispatch/ready_step.hpp
@@ -51,6 +51,11 @@
         return spec().all_at_once && queue->advice.has_value() &&
                outlook() == policy::outlook::in_time;
     }
+    /// @brief The host was allowed before; this never changes for a step.
+    bool knows(const candidate& it) const
+    {
+        return state().tickets.contains(it.host->info.id);
+    }
     policy::outlook outlook() const
     {
         return std::get<0>(urgency);
