Give a worker few tasks until its first ends are reported

Ruled out: the quarantine itself, which begins with the first report. Change: hosts that got ten starts within 2 s come last among fitting hosts. They are still used when nothing else fits, so that no work waits for it.

--- a/src/mustardwick/policy/cell.cpp
+++ b/src/mustardwick/policy/cell.cpp
@@ -191,6 +191,7 @@
     found->running.insert(id.index);
     state_->slots[index].tasks.push_back(
         {&it->second, found, false, state_->round});
+    state_->slots[index].recent.record(now);
     found->round = state_->round;
     state_->count_task(*found, index, 1);
     state_->update_slot(index);
--- a/src/mustardwick/policy/cell_state.hpp
+++ b/src/mustardwick/policy/cell_state.hpp
@@ -73,6 +73,37 @@
     std::uint64_t round = 0;
 };
 
+/// @brief Counts the starts on a host whose outcome is not known yet.
+class recent_starts
+{
+public:
+    void record(steady_time now)
+    {
+        if (count_ == 0 || now - began_ >= report_time)
+        {
+            began_ = now;
+            count_ = 0;
+        }
+        ++count_;
+    }
+
+    /// @brief True while the host should prove itself before it gets more.
+    bool are_many(steady_time now) const
+    {
+        return count_ >= many && now - began_ < report_time;
+    }
+
+private:
+    /// Ends are reported with the next renewal of the worker's lease, which is
+    /// 1.5 s away at most.
+    static constexpr milliseconds report_time{2000};
+    /// Twice the failures in a row after which a worker is quarantined.
+    static constexpr int many = 10;
+
+    steady_time began_{};
+    int count_ = 0;
+};
+
 /// @brief A host with what is used and held on it.
 struct host_slot
 {
@@ -99,6 +130,7 @@
     /// that a new planner can use all hosts at once.
     bool served = false;
     std::vector<host_task> tasks;
+    recent_starts recent;
 
     bool open() const
     {
--- a/src/mustardwick/policy/host_choice.cpp
+++ b/src/mustardwick/policy/host_choice.cpp
@@ -13,6 +13,10 @@
 /// little better and cost time.
 constexpr int packing_candidates = 4;
 
+/// Fitting hosts of a failure domain that are looked at, with those that got
+/// many tasks lately; it bounds the time of one decision.
+constexpr int most_visits = 48;
+
 /// Fitting hosts of a failure domain among which a replica's rack is chosen.
 constexpr int spreading_candidates = 48;
 
@@ -78,26 +82,31 @@
 } // namespace
 
 std::optional<int> choose_packed(const cell::state& state,
-                                 const resources& size)
+                                 const resources& size, steady_time now)
 {
-    std::optional<std::tuple<bool, double, int>> best;
+    // A worker that fails everything is empty again at once and would attract
+    // all waiting work before its first failures are reported.
+    std::optional<std::tuple<bool, bool, double, int>> best;
     for (const auto& domain : state.domains)
     {
         int left = packing_candidates;
-        domain.free.visit(size, 0,
-                          [&](std::size_t leaf)
-                          {
-                              const auto index = domain.slots[leaf];
-                              const auto& slot = state.slots[index];
-                              const std::tuple it(
-                                  wastes_accelerators(slot, size),
-                                  leftover(slot, size), index);
-                              if (!best || it < *best)
-                                  best = it;
-                              return --left > 0;
-                          });
+        int visits = most_visits;
+        domain.free.visit(
+            size, 0,
+            [&](std::size_t leaf)
+            {
+                const auto index = domain.slots[leaf];
+                const auto& slot = state.slots[index];
+                const bool unproven = slot.recent.are_many(now);
+                const std::tuple it(unproven, wastes_accelerators(slot, size),
+                                    leftover(slot, size), index);
+                if (!best || it < *best)
+                    best = it;
+                left -= unproven ? 0 : 1;
+                return left > 0 && --visits > 0;
+            });
     }
-    return best ? std::optional(std::get<2>(*best)) : std::nullopt;
+    return best ? std::optional(std::get<3>(*best)) : std::nullopt;
 }
 
 std::optional<int> choose_spread(const cell::state& state,
@@ -113,11 +122,12 @@
     return std::nullopt;
 }
 
-std::optional<int> choose_host(const cell::state& state, const job_entry& work)
+std::optional<int> choose_host(const cell::state& state, const job_entry& work,
+                               steady_time now)
 {
     if (work.value->kind == work_kind::service)
         return choose_spread(state, work);
-    return choose_packed(state, work.value->size);
+    return choose_packed(state, work.value->size, now);
 }
 
 bool fits_together(const cell::state& state, const resources& size, int units)
--- a/src/mustardwick/policy/host_choice.hpp
+++ b/src/mustardwick/policy/host_choice.hpp
@@ -8,11 +8,13 @@
 {
 
 /// @brief The host on which a task should start, or none when it fits nowhere.
-std::optional<int> choose_host(const cell::state& state, const job_entry& work);
+std::optional<int> choose_host(const cell::state& state, const job_entry& work,
+                               steady_time now);
 
-/// @brief The host with the tightest fit, in the job's dominant resource.
+/// @brief The host with the tightest fit, in the job's dominant resource;
+/// hosts that got many tasks lately come last.
 std::optional<int> choose_packed(const cell::state& state,
-                                 const resources& size);
+                                 const resources& size, steady_time now);
 
 /// @brief The host that best spreads a service's replicas.
 std::optional<int> choose_spread(const cell::state& state,
--- a/src/mustardwick/policy/moves.cpp
+++ b/src/mustardwick/policy/moves.cpp
@@ -84,7 +84,7 @@
         return false;
     for (const auto index : indexes)
         it.state.make_claim({work.value->id, index},
-                            *choose_host(it.state, work));
+                            *choose_host(it.state, work, it.now));
     return true;
 }
 
--- a/src/mustardwick/policy/reservation.cpp
+++ b/src/mustardwick/policy/reservation.cpp
@@ -228,7 +228,7 @@
         return;
     state.release_reservation();
     for (int i = work.shape.units; i > 0; --i)
-        if (const auto slot = choose_host(state, work))
+        if (const auto slot = choose_host(state, work, it.now))
             it.place_first(work, *slot);
 }
 
--- a/src/mustardwick/policy/scheduler.cpp
+++ b/src/mustardwick/policy/scheduler.cpp
@@ -48,7 +48,7 @@
     if (!fits_together(it.state, size, units))
         return false;
     for (int i = 0; i < units; ++i)
-        it.place_first(work, *choose_packed(it.state, size));
+        it.place_first(work, *choose_packed(it.state, size, it.now));
     return true;
 }
 
@@ -57,7 +57,7 @@
     std::optional<int> slot;
     if (!known_to_fail(it.state, work.value->size))
     {
-        slot = choose_host(it.state, work);
+        slot = choose_host(it.state, work, it.now);
         if (!slot)
             note_failure(it.state, work.value->size);
     }
--- a/src/mustardwick/policy/scheduler_test.cpp
+++ b/src/mustardwick/policy/scheduler_test.cpp
@@ -1,6 +1,7 @@
 #include "mustardwick/policy/scheduler.hpp"
 
 #include <array>
+#include <map>
 
 #include <criterion/criterion.h>
 
@@ -87,6 +88,30 @@
     cr_assert_eq(state.pending("3"), 3);
 }
 
+// Guards against a worker that fails everything and is filled before its first
+// failures are reported, while tasks still go anywhere when all are as full.
+Test(scheduler, does_not_fill_a_host_before_it_has_proved_itself)
+{
+    struct start_case
+    {
+        int tasks;
+        std::size_t most_on_a_host;
+    };
+    for (const auto& it : {start_case{30, 10}, start_case{60, 40}})
+    {
+        auto state = make_cell(1);
+        state.add_job(
+            make_job("j", "t", work_kind::batch, {100, 100, 0}, it.tasks));
+        const auto plan = plan_round(state, start_time);
+        std::map<std::string, std::size_t> on_host;
+        for (const auto& placed : plan.placements)
+            ++on_host[placed.host];
+        cr_assert_eq(plan.placements.size(), it.tasks);
+        for (const auto& [name, n] : on_host)
+            cr_assert_leq(n, it.most_on_a_host);
+    }
+}
+
 // Guards against replicas that share a failure domain or a host needlessly.
 Test(scheduler, spreads_services_over_failure_domains)
 {
