Tell the fate of requests that never reached their worker

Ruled out: the resolver's caller, which asked again every 250 ms; workers, which answered that they had never seen the attempt. Change: when the worker knows nothing of an attempt that is not being served, its owner closes the lease by opening the next one, so that a late copy is refused and the request is known not to have run. Requests that the daemon is serving itself are no longer counted twice when a lease is opened again. Before: the new test failed.

--- a/include/mustardwick/coordination/request_owner.hpp
+++ b/include/mustardwick/coordination/request_owner.hpp
@@ -54,7 +54,8 @@
     /// @brief Asks the worker what became of a claimed request.
     ///
     /// Refused means that it has not run and never will, because the lease it
-    /// was claimed under is closed.
+    /// was claimed under is closed. The lease of a request that did not arrive
+    /// and is not being served is closed, so that a later call can tell.
     wire::forward_answer resolve(const claim_record& claim);
 
     /// @brief Requests being served now.
@@ -63,7 +64,8 @@
 private:
     struct host_slots
     {
-        int in_use = 0;
+        /// Attempts that this daemon is serving now.
+        std::set<std::string> serving;
         /// Requests of a former owner and those of unknown outcome, until they
         /// have ended.
         std::map<std::string, base::steady_time> adopted;
@@ -72,7 +74,7 @@
     class slot;
 
     std::optional<slot> take_slot(const wire::forward_request& call);
-    void give_back_slot(const std::string& host);
+    void give_back_slot(const std::string& host, const std::string& attempt);
     void keep_slot(const std::string& host, const std::string& team,
                    const std::string& attempt);
     std::optional<wire::forward_answer> claim(const wire::forward_request& call,
@@ -82,6 +84,8 @@
                               const held_lease& lease, base::steady_time end);
     bool may_send(const wire::forward_request& call,
                   const held_lease& lease) const;
+    bool is_serving(const std::string& host, const std::string& attempt);
+    void close_lease_of(const claim_record& claim);
     wire::forward_answer answer_of(const std::string& key) const;
 
     request_owner_links links_;
--- a/src/mustardwick/coordination/request_owner.cpp
+++ b/src/mustardwick/coordination/request_owner.cpp
@@ -43,8 +43,9 @@
 class request_owner::slot
 {
 public:
-    slot(request_owner& owner, std::string host, std::string team)
-        : owner_(&owner), host_(std::move(host)), team_(std::move(team))
+    slot(request_owner& owner, const wire::forward_request& call)
+        : owner_(&owner), host_(call.host), team_(call.team),
+          attempt_(call.attempt)
     {
         ++owner_->running_;
     }
@@ -54,21 +55,22 @@
         if (owner_ == nullptr)
             return;
         --owner_->running_;
-        owner_->give_back_slot(host_);
+        owner_->give_back_slot(host_, attempt_);
         owner_->links_.escrow.release(team_);
     }
 
     /// Keeps the slot taken until the target can no longer serve the attempt.
-    void keep(const std::string& attempt)
+    void keep()
     {
         --owner_->running_;
-        owner_->keep_slot(host_, team_, attempt);
+        owner_->keep_slot(host_, team_, attempt_);
         owner_ = nullptr;
     }
 
     slot(slot&& other) noexcept
         : owner_(std::exchange(other.owner_, nullptr)),
-          host_(std::move(other.host_)), team_(std::move(other.team_))
+          host_(std::move(other.host_)), team_(std::move(other.team_)),
+          attempt_(std::move(other.attempt_))
     {
     }
 
@@ -80,6 +82,7 @@
     request_owner* owner_;
     std::string host_;
     std::string team_;
+    std::string attempt_;
 };
 
 request_owner::request_owner(request_owner_links links, milliseconds longest)
@@ -102,16 +105,20 @@
                       // Requests that this daemon itself has running are
                       // counted by their slots already.
                       for (const auto& attempt : attempts)
-                          it.adopted[attempt] = end;
+                      {
+                          if (it.serving.count(attempt) == 0)
+                              it.adopted[attempt] = end;
+                      }
                   });
 }
 
-void request_owner::give_back_slot(const std::string& host)
+void request_owner::give_back_slot(const std::string& host,
+                                   const std::string& attempt)
 {
     slots_.update(host,
-                  [](host_slots& it)
+                  [&](host_slots& it)
                   {
-                      --it.in_use;
+                      it.serving.erase(attempt);
                   });
 }
 
@@ -123,7 +130,7 @@
     slots_.update(host,
                   [&](host_slots& it)
                   {
-                      --it.in_use;
+                      it.serving.erase(attempt);
                       it.adopted[attempt] = end;
                   });
     links_.escrow.release_at(team, end);
@@ -148,20 +155,18 @@
                                         {
                                             return now >= entry.second;
                                         });
-                          const auto busy =
-                              it.in_use + static_cast<int>(it.adopted.size());
-                          if (busy >= most)
+                          const auto busy = it.serving.size() + it.adopted.size();
+                          if (busy >= static_cast<std::size_t>(most))
                               return false;
-                          ++it.in_use;
-                          return true;
+                          return it.serving.insert(call.attempt).second;
                       });
     if (!taken)
         return base::fail(base::error_kind::overloaded,
                           "host " + call.host + " has no free slot",
                           "retry after a delay");
     if (links_.escrow.acquire(call.team))
-        return slot(*this, call.host, call.team);
-    give_back_slot(call.host);
+        return slot(*this, call);
+    give_back_slot(call.host, call.attempt);
     return base::fail(base::error_kind::overloaded,
                       "team " + call.team + " is at its request limit",
                       "retry after a delay or raise limit_requests");
@@ -201,7 +206,7 @@
     {
         auto answer = send(call, *lease, end);
         if (answer.result == wire::outcome::unknown)
-            held->keep(call.attempt);
+            held->keep();
         return answer;
     }
     std::uint64_t version = 0;
@@ -219,7 +224,7 @@
     auto answer = send(call, *lease, end);
     if (answer.result == wire::outcome::unknown)
     {
-        held->keep(call.attempt);
+        held->keep();
         return answer;
     }
     const bool done = answer.result == wire::outcome::done;
@@ -301,6 +306,25 @@
     return answer;
 }
 
+bool request_owner::is_serving(const std::string& host,
+                               const std::string& attempt)
+{
+    return slots_.update(host,
+                         [&](host_slots& it)
+                         {
+                             return it.serving.count(attempt) > 0;
+                         });
+}
+
+/// A request whose connection became silent may still arrive for as long as
+/// its lease is open, so that its fate is known only under the next lease.
+void request_owner::close_lease_of(const claim_record& claim)
+{
+    links_.events.record("lease_closed_for_request", claim.host,
+                         "attempt " + claim.attempt);
+    links_.leases.lose(claim.host, claim.lease);
+}
+
 wire::forward_answer request_owner::resolve(const claim_record& claim)
 {
     const auto lease = links_.leases.lease_of(claim.host);
@@ -327,7 +351,11 @@
         break;
     }
     if (lease->lease == claim.lease)
+    {
+        if (!is_serving(claim.host, claim.attempt))
+            close_lease_of(claim);
         return unknown_answer("the request may still be under way");
+    }
     return refused_answer("the request did not run", "send it again");
 }
 
--- a/testing/model/request_owner_test.cpp
+++ b/testing/model/request_owner_test.cpp
@@ -48,3 +48,29 @@
     cr_expect_eq(
         started_after({leave, ask, ask, half_a_minute, pause, ask, ask}), 4);
 }
+
+// Guards against a request whose bytes a silent connection swallowed: its
+// worker never saw it, and its caller would be told "unknown" for as long as
+// the lease stays open.
+Test(request_owner, tells_the_fate_of_requests_that_never_arrived)
+{
+    base::set_up_log("model", base::log_level::error);
+    model_cell cell({1});
+    constexpr unsigned daemons = 3;
+    constexpr unsigned workers = 4;
+    for (unsigned daemon = 0; daemon < daemons; ++daemon)
+    {
+        for (unsigned worker = 0; worker < workers; ++worker)
+            cell.apply({action::cut_worker, daemon, worker});
+    }
+    cell.apply({action::request, 0, 0});
+    cell.apply({action::heal_cuts, 0, 0});
+    for (int n = 0; n < 20 && cell.monitor().counts["query_refused"] == 0; ++n)
+    {
+        cell.apply({action::query_request, 0, 0});
+        cell.apply({action::advance, 1, 0});
+    }
+    cr_expect_eq(cell.monitor().counts["query_refused"], 1);
+    cr_expect_eq(cell.monitor().counts["request_started"], 0);
+    cr_expect(cell.monitor().broken().empty());
+}
