Replace a leader at once when its host refuses connections

Ruled out: the members' knowledge; the gateways' calls are refused within 60 ms. Change: the head row is read at once and replaced if it still names that leader. Authority and the bounds of former leases count from the takeover and do not depend on the wait.

--- a/include/mustardwick/entry/duty_seeker.hpp
+++ b/include/mustardwick/entry/duty_seeker.hpp
@@ -41,8 +41,8 @@
     void stop();
     /// @brief The leader gave a sign of life.
     void heard();
-    /// @brief The leader's process is gone.
-    void leader_gone();
+    /// @brief The host of a leader refuses connections: its process is gone.
+    void leader_refuses(std::int64_t epoch);
     /// @brief The leader hands the duty over.
     void take_now(const hand_over& offer);
     /// @brief While this daemon leads or shuts down.
@@ -63,6 +63,8 @@
     events on_;
     base::steady_time last_heard_;
     base::steady_time next_read_;
+    /// Leadership whose process is known to be gone.
+    std::int64_t gone_epoch_ = 0;
     std::optional<std::int64_t> observed_version_;
     base::steady_time observed_since_;
     std::optional<head_record> attempt_;
--- a/src/mustardwick/entry/duty_seeker.cpp
+++ b/src/mustardwick/entry/duty_seeker.cpp
@@ -67,18 +67,27 @@
 void duty_seeker::heard()
 {
     last_heard_ = clock_.now();
+    gone_epoch_ = 0;
     observed_version_.reset();
 }
 
-void duty_seeker::leader_gone()
+void duty_seeker::leader_refuses(std::int64_t epoch)
 {
+    if (gone_epoch_ == epoch)
+        return;
+    gone_epoch_ = epoch;
     last_heard_ = {};
+    next_read_ = {};
+    if (is_small())
+        next_read_ = clock_.now() + small_host_delay;
+    else if (!call_open_ && !paused_ && !stopped_)
+        read_head();
 }
 
 void duty_seeker::take_now(const hand_over& offer)
 {
     take_now_ = true;
-    leader_gone();
+    last_heard_ = {};
     next_read_ = {};
     if (call_open_ || paused_)
         return;
@@ -152,7 +161,8 @@
     if (attempt_ && head->transaction == attempt_->transaction)
         return acquired(it->version);
     const bool own = head->leader == self_.name;
-    if (head->released || own || take_now_)
+    const bool gone = head->epoch == gone_epoch_;
+    if (head->released || own || gone || take_now_)
         return acquire(head->epoch + 1, it->version);
     if (observed_version_ != it->version)
     {
--- a/src/mustardwick/entry/duty_seeker_test.cpp
+++ b/src/mustardwick/entry/duty_seeker_test.cpp
@@ -2,17 +2,85 @@
 
 #include <array>
 
+#include <cpprest/asyncrt_utils.h>
 #include <criterion/criterion.h>
 
 #include "head_store_test.hpp"
 #include "mustardwick/base/error.hpp"
 #include "mustardwick/base/log.hpp"
+#include "mustardwick/wire/codec.hpp"
 
 using namespace mustardwick;
 using namespace mustardwick::entry;
 using namespace mustardwick::entry::test;
 using std::chrono::milliseconds;
 
+namespace
+{
+
+/// A seeker with its store in one process.
+struct seeker_fixture
+{
+    seeker_fixture(std::uint16_t port, std::string row)
+        : store{io, store_fault::none, 0, 4, std::move(row)},
+          address{"127.0.0.1", port},
+          listener(io, address, "Deadline-Ms",
+                   [this](const auto& request, auto respond)
+                   {
+                       store.handle(request, respond);
+                   }),
+          client(io, address, metrics),
+          seeker(std::make_shared<duty_seeker>(
+              io, clock, client, member_record{"a", "127.0.0.1", 1, 1.0},
+              duty_seeker::events{[this](head_record record, std::int64_t)
+                                  {
+                                      head = std::move(record);
+                                  },
+                                  [](const head_record&) {}}))
+    {
+        base::set_up_log("test", base::log_level::error);
+        cr_assert(listener.start(), "%s", base::last_error().text().c_str());
+    }
+
+    ~seeker_fixture()
+    {
+        seeker->stop();
+    }
+
+    seeker_fixture(const seeker_fixture&) = delete;
+    seeker_fixture& operator=(const seeker_fixture&) = delete;
+
+    /// Tells whether the duty is taken in a time.
+    bool acquires_within(milliseconds time)
+    {
+        const auto give_up = clock.now() + time;
+        while (!head && clock.now() < give_up)
+            io.run_one_for(milliseconds(20));
+        return head.has_value();
+    }
+
+    boost::asio::io_context io;
+    base::system_clock clock;
+    base::metrics metrics;
+    head_store store;
+    wire::endpoint address;
+    aio::http_listener listener;
+    platform::store_client client;
+    std::optional<head_record> head;
+    std::shared_ptr<duty_seeker> seeker;
+};
+
+/// A head row that names another daemon.
+std::string head_of_another(std::int64_t epoch)
+{
+    const auto bytes =
+        wire::encode(head_record{epoch, "b", "127.0.0.1", 2, "t", false});
+    return utility::conversions::to_base64(
+        std::vector<unsigned char>(bytes.begin(), bytes.end()));
+}
+
+} // namespace
+
 struct offer_case
 {
     std::int64_t head_version;
@@ -25,39 +93,42 @@
 // successor that takes the duty on an outdated offer.
 Test(duty_seeker, takes_an_offered_duty_with_one_call)
 {
-    base::set_up_log("test", base::log_level::error);
     const std::array cases = {offer_case{4, 27421, true},
                               offer_case{3, 27422, false}};
     for (const auto& it : cases)
     {
-        boost::asio::io_context io;
-        base::system_clock clock;
-        base::metrics metrics;
-        head_store store{io, store_fault::none, 0, 4, "AQ=="};
-        const wire::endpoint address{"127.0.0.1", it.port};
-        aio::http_listener listener(io, address, "Deadline-Ms",
-                                    [&](const auto& request, auto respond)
-                                    {
-                                        store.handle(request, respond);
-                                    });
-        cr_assert(listener.start(), "%s", base::last_error().text().c_str());
-        platform::store_client client(io, address, metrics);
-        std::optional<head_record> head;
-        const auto seeker = std::make_shared<duty_seeker>(
-            io, clock, client, member_record{"a", "127.0.0.1", 1, 1.0},
-            duty_seeker::events{[&](head_record record, std::int64_t)
-                                {
-                                    head = std::move(record);
-                                },
-                                [](const head_record&) {}});
-        seeker->take_now({7, it.head_version});
-        const auto give_up = clock.now() + milliseconds(500);
-        while (!head && clock.now() < give_up)
-            io.run_one_for(milliseconds(20));
-        cr_assert_eq(head.has_value(), it.acquired);
-        cr_assert_eq(store.calls, 1);
-        if (head)
-            cr_assert_eq(head->epoch, 8);
-        seeker->stop();
+        seeker_fixture cell(it.port, "AQ==");
+        cell.seeker->take_now({7, it.head_version});
+        cr_assert_eq(cell.acquires_within(milliseconds(500)), it.acquired);
+        cr_assert_eq(cell.store.calls, 1);
+        if (cell.head)
+            cr_assert_eq(cell.head->epoch, 8);
+    }
+}
+
+struct refused_case
+{
+    /// Leader whose host refuses connections.
+    std::int64_t refused_epoch;
+    std::uint16_t port;
+    bool acquired;
+};
+
+// Guards against a wait for the silence of a leader whose process is known to
+// be gone, as its host refuses connections (node_kill of the leader: 1.2 s
+// without one), and against a takeover from a newer leader.
+Test(duty_seeker, takes_the_duty_of_a_dead_process_at_once)
+{
+    const std::array cases = {refused_case{7, 27423, true},
+                              refused_case{6, 27424, false}};
+    for (const auto& it : cases)
+    {
+        seeker_fixture cell(it.port, head_of_another(7));
+        cell.seeker->heard();
+        cell.seeker->start();
+        cell.seeker->leader_refuses(it.refused_epoch);
+        cr_assert_eq(cell.acquires_within(milliseconds(300)), it.acquired);
+        if (cell.head)
+            cr_assert_eq(cell.head->epoch, 8);
     }
 }
--- a/src/mustardwick/entry/entry_node_peers.cpp
+++ b/src/mustardwick/entry/entry_node_peers.cpp
@@ -196,7 +196,7 @@
                     }
                     if (result.refused && epoch == known_leader.epoch &&
                         !leader)
-                        seeker->leader_gone();
+                        seeker->leader_refuses(epoch);
                     again(maybe_sent || !(reply || result.refused));
                 });
 }
--- a/src/mustardwick/entry/head_store_test.hpp
+++ b/src/mustardwick/entry/head_store_test.hpp
@@ -33,6 +33,8 @@
         ++calls;
         if (fault == store_fault::refused_once && calls == 1)
             return respond({503, "{}", "application/json", {}});
+        if (request.method == "GET")
+            return respond({200, head_row(), "application/json", {}});
         const auto at = request.body.find("\"row_version\":");
         const auto expected = std::stoll(request.body.substr(at + 14));
         const bool matches = expected == version;
@@ -47,12 +49,8 @@
         if (fault == store_fault::answer_lost && calls == 1)
             return;
         const auto number = std::to_string(version);
-        const auto body = matches
-                              ? "{\"row_version\":" + number + "}"
-                              : R"({"row_version":)" + number +
-                                    R"(,"rows":[{"table":"cell","part":"plan",)"
-                                    R"("key":"head","row_version":)" +
-                                    number + R"(,"value":")" + value + "\"}]}";
+        const auto body =
+            matches ? "{\"row_version\":" + number + "}" : head_row();
         const aio::outgoing_response out{
             matches ? 200 : 412, body, "application/json", {}};
         if (fault != store_fault::slow)
@@ -66,6 +64,15 @@
             });
     }
 
+    std::string head_row() const
+    {
+        const auto number = std::to_string(version);
+        return R"({"row_version":)" + number +
+               R"(,"rows":[{"table":"cell","part":"plan",)"
+               R"("key":"head","row_version":)" +
+               number + R"(,"value":")" + value + "\"}]}";
+    }
+
     boost::asio::io_context& io;
     store_fault fault = store_fault::none;
     int calls = 0;
