Replace a silent leader after 0.45 s without a new version

A leader renews the row every 250 ms. Ruled out: loading the state, which takes 0.05 s there. Change: the row is watched after 0.3 s of silence and must stand still for 0.45 s; 0.8 s while reads show that the store is slow.

--- a/include/mustardwick/entry/duty_seeker.hpp
+++ b/include/mustardwick/entry/duty_seeker.hpp
@@ -63,6 +63,7 @@
     events on_;
     base::steady_time last_heard_;
     base::steady_time next_read_;
+    base::steady_time read_began_;
     /// Leadership whose process is known to be gone.
     std::int64_t gone_epoch_ = 0;
     std::optional<std::int64_t> observed_version_;
--- a/src/mustardwick/entry/duty_seeker.cpp
+++ b/src/mustardwick/entry/duty_seeker.cpp
@@ -18,16 +18,18 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds tick_interval{50};
-/// The head row is watched after two missing beats.
-constexpr milliseconds watch_after{400};
-/// Four beats without a sign of life.
-constexpr milliseconds silence_limit{800};
-constexpr milliseconds read_interval{200};
+/// The head row is watched after a missing beat.
+constexpr milliseconds watch_after{300};
+/// Three beats without a sign of life.
+constexpr milliseconds silence_limit{600};
+constexpr milliseconds read_interval{150};
 constexpr milliseconds read_timeout{800};
 constexpr milliseconds acquire_timeout{1000};
 /// A leader renews the row every 250 ms, and every 700 ms while the store is
-/// slow.
-constexpr milliseconds takeover_after{800};
+/// slow; a read then takes over 50 ms instead of 3 ms.
+constexpr milliseconds takeover_after{450};
+constexpr milliseconds takeover_after_when_slow{800};
+constexpr milliseconds slow_read{50};
 /// Small hosts let larger ones go first, since the leader works most.
 constexpr milliseconds small_host_delay{500};
 
@@ -126,7 +128,8 @@
 void duty_seeker::read_head()
 {
     call_open_ = true;
-    next_read_ = clock_.now() + read_interval;
+    read_began_ = clock_.now();
+    next_read_ = read_began_ + read_interval;
     store_.read(cell_table, plan_partition, head_key, 1, read_timeout,
                 [self = shared_from_this()](const durable::store_reply& reply)
                 {
@@ -171,8 +174,10 @@
         on_.leader_seen(*head);
         return;
     }
-    const auto wait =
-        takeover_after + (is_small() ? small_host_delay : milliseconds(0));
+    auto wait = now - read_began_ > slow_read ? takeover_after_when_slow
+                                              : takeover_after;
+    if (is_small())
+        wait += small_host_delay;
     if (now - observed_since_ >= wait && now - last_heard_ >= silence_limit)
         acquire(head->epoch + 1, it->version);
 }
--- a/src/mustardwick/entry/duty_seeker_test.cpp
+++ b/src/mustardwick/entry/duty_seeker_test.cpp
@@ -132,3 +132,28 @@
             cr_assert_eq(cell.head->epoch, 8);
     }
 }
+
+struct silence_case
+{
+    store_fault fault;
+    std::uint16_t port;
+    bool acquired;
+};
+
+// Guards against callers that wait longer than needed when the leader's host is
+// gone without a trace (replace_core of the leader: 1.2 s), and against a
+// leader that is replaced because the store delays its renewals.
+Test(duty_seeker, replaces_a_silent_leader_soon)
+{
+    const std::array cases = {
+        silence_case{store_fault::none, 27425, true},
+        silence_case{store_fault::slow, 27426, false}};
+    for (const auto& it : cases)
+    {
+        seeker_fixture cell(it.port, head_of_another(7));
+        cell.store.fault = it.fault;
+        cell.seeker->heard();
+        cell.seeker->start();
+        cr_assert_eq(cell.acquires_within(milliseconds(1100)), it.acquired);
+    }
+}
--- a/src/mustardwick/entry/head_store_test.hpp
+++ b/src/mustardwick/entry/head_store_test.hpp
@@ -34,7 +34,7 @@
         if (fault == store_fault::refused_once && calls == 1)
             return respond({503, "{}", "application/json", {}});
         if (request.method == "GET")
-            return respond({200, head_row(), "application/json", {}});
+            return answer({200, head_row(), "application/json", {}}, respond);
         const auto at = request.body.find("\"row_version\":");
         const auto expected = std::stoll(request.body.substr(at + 14));
         const bool matches = expected == version;
@@ -53,6 +53,12 @@
             matches ? "{\"row_version\":" + number + "}" : head_row();
         const aio::outgoing_response out{
             matches ? 200 : 412, body, "application/json", {}};
+        answer(out, respond);
+    }
+
+    void answer(const aio::outgoing_response& out,
+                const aio::responder& respond) const
+    {
         if (fault != store_fault::slow)
             return respond(out);
         auto timer = std::make_shared<boost::asio::steady_timer>(
