--- a/include/mustardwick/entry/member_beats.hpp
+++ b/include/mustardwick/entry/member_beats.hpp
@@ -34,8 +34,8 @@
 
 /// @brief Sends the leader's beats and keeps what the members answer.
 ///
-/// A member takes over only after it has heard nothing for a while; an
-/// answered beat is therefore a promise not to take over during that time.
+/// A member that has taken over answers with a newer epoch; any other answer
+/// shows that it had not done so when the beat was sent.
 class member_beats : public std::enable_shared_from_this<member_beats>
 {
 public:
@@ -51,8 +51,8 @@
     void set_configuration(std::int64_t version);
     void set_store_failing(bool failing);
 
-    /// @brief Time up to which every member that may run has promised not to
-    /// take over; none without members.
+    /// @brief Latest time at which no member that may run had taken over; none
+    /// without members.
     std::optional<base::steady_time> confirmed() const;
 
     /// @brief The member on the largest host above a capacity that the store
--- a/src/mustardwick/entry/duty_seeker_test.cpp
+++ b/src/mustardwick/entry/duty_seeker_test.cpp
@@ -145,9 +145,8 @@
 // leader that is replaced because the store delays its renewals.
 Test(duty_seeker, replaces_a_silent_leader_soon)
 {
-    const std::array cases = {
-        silence_case{store_fault::none, 27425, true},
-        silence_case{store_fault::slow, 27426, false}};
+    const std::array cases = {silence_case{store_fault::none, 27425, true},
+                              silence_case{store_fault::slow, 27426, false}};
     for (const auto& it : cases)
     {
         seeker_fixture cell(it.port, head_of_another(7));
--- a/src/mustardwick/entry/member_beats.cpp
+++ b/src/mustardwick/entry/member_beats.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds beat_timeout{700};
 /// A member that does not answer is tried less often.
 constexpr milliseconds slow_interval{1500};
-/// After this silence a member counts as gone for the promises; its process
+/// After this silence a member counts as gone; its process
 /// has read nothing from the store that it could act on since.
 constexpr milliseconds member_forgotten{20'000};
 /// Members that answered within this time are given work.
