--- a/src/mustardwick/coordination/request_owner.cpp
+++ b/src/mustardwick/coordination/request_owner.cpp
@@ -155,7 +155,8 @@
                                         {
                                             return now >= entry.second;
                                         });
-                          const auto busy = it.serving.size() + it.adopted.size();
+                          const auto busy =
+                              it.serving.size() + it.adopted.size();
                           if (busy >= static_cast<std::size_t>(most))
                               return false;
                           return it.serving.insert(call.attempt).second;
--- a/src/mustardwick/policy/host_choice.cpp
+++ b/src/mustardwick/policy/host_choice.cpp
@@ -91,20 +91,20 @@
     {
         int left = packing_candidates;
         int visits = most_visits;
-        domain.free.visit(
-            size, 0,
-            [&](std::size_t leaf)
-            {
-                const auto index = domain.slots[leaf];
-                const auto& slot = state.slots[index];
-                const bool unproven = slot.recent.are_many(now);
-                const std::tuple it(unproven, wastes_accelerators(slot, size),
-                                    leftover(slot, size), index);
-                if (!best || it < *best)
-                    best = it;
-                left -= unproven ? 0 : 1;
-                return left > 0 && --visits > 0;
-            });
+        domain.free.visit(size, 0,
+                          [&](std::size_t leaf)
+                          {
+                              const auto index = domain.slots[leaf];
+                              const auto& slot = state.slots[index];
+                              const bool unproven = slot.recent.are_many(now);
+                              const std::tuple it(
+                                  unproven, wastes_accelerators(slot, size),
+                                  leftover(slot, size), index);
+                              if (!best || it < *best)
+                                  best = it;
+                              left -= unproven ? 0 : 1;
+                              return left > 0 && --visits > 0;
+                          });
     }
     return best ? std::optional(std::get<3>(*best)) : std::nullopt;
 }
