Keep the duty while only the leader's part of the store is down

Ruled out: the probe, which fails in that state. Change: while the store fails for the leader, a member reports how long ago the part of the head row answered it.

--- a/include/mustardwick/entry/messages.hpp
+++ b/include/mustardwick/entry/messages.hpp
@@ -76,7 +76,8 @@
 {
     /// Highest epoch that the member knows.
     std::int64_t epoch = 0;
-    /// Milliseconds since the store last answered the member; -1 never.
+    /// Milliseconds since the store last answered the member, and while it
+    /// fails for the leader, since the part of the head row did; -1 never.
     std::int64_t store_age_ms = -1;
     /// The member shuts down and must not become leader.
     bool leaving = false;
--- a/src/mustardwick/entry/entry_node_impl.hpp
+++ b/src/mustardwick/entry/entry_node_impl.hpp
@@ -11,6 +11,7 @@
 #include "mustardwick/entry/entry_node.hpp"
 #include "mustardwick/entry/gateway.hpp"
 #include "mustardwick/entry/leader_contact.hpp"
+#include "mustardwick/entry/store_contact.hpp"
 
 namespace mustardwick::entry
 {
@@ -85,6 +86,7 @@
     std::function<std::optional<settings>()> reload;
     bool fetching_configuration = false;
     bool probing_store = false;
+    store_contact store_answers;
     bool leaving = false;
 };
 
--- a/src/mustardwick/entry/entry_node_peers.cpp
+++ b/src/mustardwick/entry/entry_node_peers.cpp
@@ -70,11 +70,8 @@
     beat_answer answer;
     answer.epoch = known_leader.epoch;
     answer.leaving = leaving;
-    const auto last = store.last_answer();
-    if (last != base::steady_time{})
-        answer.store_age_ms =
-            std::chrono::duration_cast<milliseconds>(clock.now() - last)
-                .count();
+    answer.store_age_ms = store_answers.age_ms(
+        beat->store_failing, store.last_answer(), clock.now());
     respond(wire::encode(answer));
 }
 
@@ -85,9 +82,11 @@
     probing_store = true;
     // Whether it answers shows in the next beat's answer.
     store.read(cell_table, plan_partition, head_key, 1, probe_timeout,
-               [this](const durable::store_reply&)
+               [this](const durable::store_reply& reply)
                {
                    probing_store = false;
+                   if (reply.ok())
+                       store_answers.part_answered(clock.now());
                });
 }
 
