--- a/src/mustardwick/entry/head_store_test.hpp
+++ b/src/mustardwick/entry/head_store_test.hpp
@@ -21,7 +21,9 @@
     /// The first call is refused.
     refused_once,
     /// Another daemon has written the head row.
-    superseded
+    superseded,
+    /// No call has an effect or an answer.
+    silent
 };
 
 /// A store that holds the head row only, by its published protocol.
@@ -31,6 +33,8 @@
                 const aio::responder& respond)
     {
         ++calls;
+        if (fault == store_fault::silent)
+            return;
         if (fault == store_fault::refused_once && calls == 1)
             return respond({503, "{}", "application/json", {}});
         if (request.method == "GET")
--- a/src/mustardwick/entry/state_log.cpp
+++ b/src/mustardwick/entry/state_log.cpp
@@ -23,6 +23,10 @@
 /// A copy may be answered this long after it was sent.
 constexpr milliseconds answer_timeout{2000};
 constexpr int usual_times_allowed = 3;
+/// A store that has not answered for this long is not merely slow; callers come
+/// back for 3 s only, so that its return has to be found out soon.
+constexpr milliseconds outage_after{1300};
+constexpr milliseconds outage_resend_interval{120};
 constexpr milliseconds refused_pause{60};
 constexpr milliseconds unknown_pause{5};
 
@@ -83,7 +87,8 @@
                           self->commit_number_ == number)
                           self->answered(std::move(reply), sent);
                   });
-    timer_.expires_after(resend_interval_);
+    const bool outage = failing_since_ && sent - *failing_since_ > outage_after;
+    timer_.expires_after(outage ? outage_resend_interval : resend_interval_);
     timer_.async_wait(
         [self = shared_from_this(),
          number = commit_number_](boost::system::error_code ec)
--- a/src/mustardwick/entry/state_log_test.cpp
+++ b/src/mustardwick/entry/state_log_test.cpp
@@ -83,3 +83,30 @@
         log->stop();
     }
 }
+
+// Guards against an outage whose end is found out late: callers come back for
+// three seconds only (bdp-sched trouble-2, window at 32 s: 0.14 of its worth).
+Test(state_log, looks_often_for_the_end_of_an_outage)
+{
+    base::set_up_log("test", base::log_level::error);
+    boost::asio::io_context io;
+    base::system_clock clock;
+    base::metrics metrics;
+    head_store store{io, store_fault::silent, 0, 4, {}};
+    const wire::endpoint address{"127.0.0.1", 27419};
+    aio::http_listener listener(io, address, "Deadline-Ms",
+                                [&](const auto& request, auto respond)
+                                {
+                                    store.handle(request, respond);
+                                });
+    cr_assert(listener.start(), "%s", base::last_error().text().c_str());
+    platform::store_client client(io, address, metrics);
+    const auto log = std::make_shared<state_log>(
+        io, clock, client, metrics, head_record{1, "a", "", 0, "", false}, 4);
+    log->commit({}, {}, [](log_result) {});
+    io.run_for(milliseconds(2800));
+    // 8 copies at the usual distance of 350 ms.
+    cr_assert_geq(store.calls, 12);
+    cr_assert_leq(store.calls, 20);
+    log->stop();
+}
--- a/src/mustardwick/entry/store_contact_test.cpp
+++ b/src/mustardwick/entry/store_contact_test.cpp
@@ -40,8 +40,8 @@
         store_contact contact;
         if (it.part_answered_ms >= 0)
             contact.part_answered(before(it.part_answered_ms));
-        cr_assert_eq(contact.age_ms(it.leader_fails, before(it.any_answered_ms),
-                                    now),
-                     it.age_ms, "%s", it.name);
+        cr_assert_eq(
+            contact.age_ms(it.leader_fails, before(it.any_answered_ms), now),
+            it.age_ms, "%s", it.name);
     }
 }
