Hand the duty over sooner when the store refuses the leader

Change: 0.25 s of refusals (four copies) and 0.1 s; while the store begins to fail, beats are sent at once and 80 ms apart for a second.

--- a/include/mustardwick/entry/member_beats.hpp
+++ b/include/mustardwick/entry/member_beats.hpp
@@ -49,6 +49,8 @@
     void stop();
     void add(const member_record& record);
     void set_configuration(std::int64_t version);
+    /// @brief When the store begins to fail for the leader, beats are sent more
+    /// often for a while.
     void set_store_failing(bool failing);
 
     /// @brief Latest time at which no member that may run had taken over; none
@@ -67,6 +69,7 @@
 private:
     void tick();
     void send(const std::string& name);
+    std::chrono::milliseconds interval() const;
     bool is_recent(const member_state& it) const;
 
     boost::asio::steady_timer timer_;
@@ -75,6 +78,7 @@
     leader_beat beat_;
     newer_epoch superseded_;
     std::map<std::string, member_state> members_;
+    base::steady_time frequent_until_;
     bool stopped_ = false;
 };
 
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -23,13 +23,13 @@
 /// Orders wait this long for others, so that they share a transaction.
 constexpr milliseconds work_delay{4};
 constexpr milliseconds duty_check_interval{100};
-/// The store fails for this daemon alone when a member gets answers this long
-/// after its failures began.
-constexpr milliseconds failing_before_hand_over{500};
+/// The store fails for this daemon alone when it has refused four copies of a
+/// transaction, 60 ms apart, and a member got an answer meanwhile.
+constexpr milliseconds failing_before_hand_over{250};
 /// A store that is 70 times as slow as usual answers the second, longer try
 /// within this time.
 constexpr milliseconds silent_before_hand_over{1300};
-constexpr milliseconds newer_answer_margin{300};
+constexpr milliseconds newer_answer_margin{100};
 /// Members find out within two beats whether the store answers them. A small
 /// host takes over a second to load the state of a large cell.
 constexpr milliseconds larger_member_wait{400};
--- a/src/mustardwick/entry/member_beats.cpp
+++ b/src/mustardwick/entry/member_beats.cpp
@@ -1,6 +1,7 @@
 #include "mustardwick/entry/member_beats.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "mustardwick/base/log.hpp"
 #include "mustardwick/wire/codec.hpp"
@@ -15,6 +16,12 @@
 
 /// A quarter of the silence after which members look for another leader.
 constexpr milliseconds beat_interval{200};
+/// The store fails for the leader: members say in the next beat's answer
+/// whether it answers them.
+constexpr milliseconds failing_beat_interval{80};
+/// Each beat makes a member read a row, so that an outage for all is not asked
+/// about as often.
+constexpr milliseconds frequent_beats{1000};
 constexpr milliseconds beat_timeout{700};
 /// A member that does not answer is tried less often.
 constexpr milliseconds slow_interval{1500};
@@ -65,7 +72,20 @@
 
 void member_beats::set_store_failing(bool failing)
 {
-    beat_.store_failing = failing;
+    if (std::exchange(beat_.store_failing, failing) || !failing)
+        return;
+    frequent_until_ = clock_.now() + frequent_beats;
+    for (auto& [name, it] : members_)
+        if (it.answered_once)
+            it.next_beat = clock_.now();
+    if (!stopped_)
+        tick();
+}
+
+milliseconds member_beats::interval() const
+{
+    const bool frequent = beat_.store_failing && clock_.now() < frequent_until_;
+    return frequent ? failing_beat_interval : beat_interval;
 }
 
 void member_beats::tick()
@@ -79,7 +99,7 @@
             due.push_back(name);
     for (const auto& name : due)
         send(name);
-    timer_.expires_after(beat_interval);
+    timer_.expires_after(interval());
     timer_.async_wait(
         [self = shared_from_this()](boost::system::error_code ec)
         {
@@ -124,7 +144,7 @@
             if (answer->store_age_ms >= 0)
                 member.store_answered =
                     sent - milliseconds(answer->store_age_ms);
-            member.next_beat = sent + beat_interval;
+            member.next_beat = sent + self->interval();
             if (answer->epoch > self->beat_.epoch && !self->stopped_)
                 self->superseded_(answer->epoch);
         });
