Do not fall back to an older state of a job whose newest one is unreadable

Cause: since an accepted job's row holds its first state, a progress row that cannot be read would have made a successor restore that state and start ended tasks again. Found by reading. Before: the test failed. After: it passes.

--- a/include/mustardwick/entry/job_rows.hpp
+++ b/include/mustardwick/entry/job_rows.hpp
@@ -62,7 +62,7 @@
     /// read.
     bool add(const durable::row& row);
     /// @brief All jobs by their id. An ended job has an empty specification
-    /// with its id.
+    /// with its id; a job with an unreadable row has no record.
     std::map<std::string, stored_job> take();
 
 private:
@@ -72,6 +72,8 @@
         /// State at acceptance, which a later one replaces.
         std::optional<jobs::job_record> accepted;
         std::optional<jobs::job_record> later;
+        /// A row cannot be read, so that the newest state is not known.
+        bool unreadable = false;
     };
 
     std::map<std::string, parts> jobs_;
--- a/include/mustardwick/entry/leader_contact.hpp
+++ b/include/mustardwick/entry/leader_contact.hpp
@@ -39,7 +39,7 @@
     }
 
 private:
-    /// A crashed leader is replaced after 0.8 to 1.7 s (docs/platform.md).
+    /// A lost leader is replaced after 0.1 to 1.3 s (docs/platform.md).
     static constexpr std::chrono::milliseconds longest_change_of_leaders{1500};
     /// Calls are repeated every 60 ms; after a longer pause a call finds out
     /// anew whether there is a leader.
--- a/src/mustardwick/entry/job_rows.cpp
+++ b/src/mustardwick/entry/job_rows.cpp
@@ -36,14 +36,17 @@
     if (row.address.table != job_table)
     {
         it.later = wire::decode<jobs::job_record>(row.value);
+        it.unreadable = it.unreadable || !it.later;
         return it.later.has_value();
     }
-    const auto both = wire::decode<job_row>(row.value);
-    if (!both)
-        return false;
-    it.specification = wire::decode<jobs::job>(both->specification);
-    it.accepted = wire::decode<jobs::job_record>(both->progress);
-    return it.specification && it.accepted;
+    if (const auto both = wire::decode<job_row>(row.value))
+    {
+        it.specification = wire::decode<jobs::job>(both->specification);
+        it.accepted = wire::decode<jobs::job_record>(both->progress);
+    }
+    const bool readable = it.specification && it.accepted;
+    it.unreadable = it.unreadable || !readable;
+    return readable;
 }
 
 std::map<std::string, stored_job> stored_jobs::take()
@@ -53,6 +56,9 @@
     {
         stored_job job{std::move(it.specification),
                        it.later ? std::move(it.later) : std::move(it.accepted)};
+        // An older state would start tasks again that have ended since.
+        if (it.unreadable)
+            job.record.reset();
         const bool ended = job.record && is_final(job.record->state);
         if (ended && !job.specification)
         {
--- a/src/mustardwick/entry/job_rows_test.cpp
+++ b/src/mustardwick/entry/job_rows_test.cpp
@@ -105,8 +105,8 @@
     }
 }
 
-// Guards against a removed job that comes back, and against rows that cannot be
-// read being taken for a job.
+// Guards against a removed job that comes back, and against a job that returns
+// to an older state because its newest one cannot be read.
 Test(job_rows, removes_jobs_and_refuses_unreadable_rows)
 {
     std::vector<durable::row> rows;
@@ -122,4 +122,9 @@
             loaded.add({{table, plan_partition, "j"}, "x", 1, false}));
     const auto jobs = loaded.take();
     cr_assert(!jobs.at("j").specification && !jobs.at("j").record);
+    apply(rows, change_of(true, false, jobs::job_state::queued));
+    cr_assert(loaded.add(rows.front()));
+    cr_assert_not(
+        loaded.add({{progress_table, plan_partition, "j"}, "x", 1, false}));
+    cr_assert_not(loaded.take().at("j").record.has_value());
 }
--- a/src/mustardwick/entry/member_beats.cpp
+++ b/src/mustardwick/entry/member_beats.cpp
@@ -14,7 +14,7 @@
 
 using std::chrono::milliseconds;
 
-/// A quarter of the silence after which members look for another leader.
+/// A third of the silence after which members look for another leader.
 constexpr milliseconds beat_interval{200};
 /// The store fails for the leader: members say in the next beat's answer
 /// whether it answers them.
@@ -25,8 +25,8 @@
 constexpr milliseconds beat_timeout{700};
 /// A member that does not answer is tried less often.
 constexpr milliseconds slow_interval{1500};
-/// After this silence a member counts as gone; its process
-/// has read nothing from the store that it could act on since.
+/// After this silence a member counts as gone; its process has read nothing
+/// from the store that it could act on since.
 constexpr milliseconds member_forgotten{20'000};
 /// Members that answered within this time are given work.
 constexpr milliseconds reachable_window{1500};
