Use the transaction type for a job's rows and count rows in one place

row_changes repeated the writes and removals of durable::transaction, and the planner counted rows with its own copy of the layout that add_change writes. The log now takes the transaction, and row_change says how many rows it needs; the test of the rows checks that count. No change of behaviour.

--- a/include/mustardwick/dispatch/orders.hpp
+++ b/include/mustardwick/dispatch/orders.hpp
@@ -93,6 +93,15 @@
     bool drop_specification = false;
     /// Encoded jobs::job_record; empty when the rows are removed.
     std::string progress;
+
+    /// @brief Rows that a transaction writes or removes for the change: an
+    /// accepted job and a later state take one.
+    std::size_t rows() const
+    {
+        return progress.empty() || drop_specification ? most_rows : 1;
+    }
+
+    static constexpr std::size_t most_rows = 2;
 };
 
 } // namespace mustardwick::dispatch
--- a/include/mustardwick/durable/rows.hpp
+++ b/include/mustardwick/durable/rows.hpp
@@ -45,6 +45,11 @@
     std::vector<row_condition> conditions;
     std::vector<row_write> writes;
     std::vector<row_address> removals;
+
+    bool changes_nothing() const
+    {
+        return writes.empty() && removals.empty();
+    }
 };
 
 enum class store_end
--- a/include/mustardwick/entry/job_rows.hpp
+++ b/include/mustardwick/entry/job_rows.hpp
@@ -3,7 +3,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include <cereal/types/string.hpp>
 
@@ -31,21 +30,9 @@
     }
 };
 
-/// @brief Rows that change together.
-struct row_changes
-{
-    std::vector<durable::row_write> writes;
-    std::vector<durable::row_address> removals;
-
-    bool empty() const
-    {
-        return writes.empty() && removals.empty();
-    }
-};
-
-/// @brief Adds the rows of a job's change: one for an accepted job and for a
-/// later state, two for the end of a job.
-void add_change(row_changes& out, dispatch::row_change change);
+/// @brief Adds the rows of a job's change to a transaction, as many as
+/// row_change::rows() says.
+void add_change(durable::transaction& out, dispatch::row_change change);
 
 /// @brief A job as its rows describe it.
 struct stored_job
--- a/include/mustardwick/entry/state_log.hpp
+++ b/include/mustardwick/entry/state_log.hpp
@@ -41,9 +41,9 @@
               platform::store_client& store, base::metrics& metrics,
               head_record head, std::int64_t head_version);
 
-    /// @brief Writes rows; must not be called while is_busy().
-    void commit(std::vector<durable::row_write> writes,
-                std::vector<durable::row_address> removals, done_handler done);
+    /// @brief Carries out a transaction without conditions of its own; must not
+    /// be called while is_busy().
+    void commit(durable::transaction change, done_handler done);
     /// @brief Marks the duty as given up with the next transaction.
     void set_released();
     void stop();
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -19,9 +19,6 @@
 constexpr milliseconds sweep_interval{5000};
 /// Time that an order needs to reach a worker.
 constexpr milliseconds order_travel{30};
-/// The end of a job removes its specification beside writing its state; an
-/// accepted job and a later state take one row.
-constexpr std::size_t most_rows_of_a_change = 2;
 
 std::int64_t wall_ms(const base::clock& time)
 {
@@ -315,7 +312,7 @@
     effects batch;
     std::size_t rows = 0;
     std::size_t bytes = 0;
-    while (!dirty_.empty() && rows + most_rows_of_a_change <= max_rows &&
+    while (!dirty_.empty() && rows + row_change::most_rows <= max_rows &&
            bytes < max_bytes)
     {
         auto& job = jobs_.at(dirty_.front());
@@ -337,8 +334,7 @@
             change.progress = wire::encode(job.record);
             job.specification_stored = !final;
         }
-        const bool ends = job.removed || change.drop_specification;
-        rows += ends ? most_rows_of_a_change : 1;
+        rows += change.rows();
         bytes += change.specification.size() + change.progress.size();
         std::move(job.starts.begin(), job.starts.end(),
                   std::back_inserter(batch.starts));
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -197,18 +197,18 @@
 {
     if (log_->is_busy() || stopped_)
         return;
-    row_changes changes;
+    durable::transaction changes;
     for (auto& it :
          planner_.next_commit(max_rows_per_commit, max_bytes_per_commit))
         add_change(changes, std::move(it));
     const bool renewal_due =
         releasing_ || env_.clock.now() - log_->confirmed() >= renewal_interval;
-    if (changes.empty() && !renewal_due)
+    if (changes.changes_nothing() && !renewal_due)
         return;
     const bool releases = releasing_;
     if (releases)
         log_->set_released();
-    log_->commit(std::move(changes.writes), std::move(changes.removals),
+    log_->commit(std::move(changes),
                  [self = shared_from_this(), releases](log_result result)
                  {
                      self->released_ =
--- a/src/mustardwick/entry/job_rows.cpp
+++ b/src/mustardwick/entry/job_rows.cpp
@@ -8,7 +8,7 @@
 namespace mustardwick::entry
 {
 
-void add_change(row_changes& out, dispatch::row_change change)
+void add_change(durable::transaction& out, dispatch::row_change change)
 {
     durable::row_address job{job_table, plan_partition, change.job};
     durable::row_address progress{progress_table, plan_partition, change.job};
--- a/src/mustardwick/entry/job_rows_test.cpp
+++ b/src/mustardwick/entry/job_rows_test.cpp
@@ -33,8 +33,10 @@
 /// Applies changes to the rows of a store.
 void apply(std::vector<durable::row>& rows, dispatch::row_change change)
 {
-    row_changes out;
+    durable::transaction out;
+    const auto counted = change.rows();
     add_change(out, std::move(change));
+    cr_assert_eq(out.writes.size() + out.removals.size(), counted);
     const auto erase = [&rows](const durable::row_address& address)
     {
         std::erase_if(rows,
--- a/src/mustardwick/entry/state_log.cpp
+++ b/src/mustardwick/entry/state_log.cpp
@@ -56,19 +56,15 @@
     timer_.cancel();
 }
 
-void state_log::commit(std::vector<durable::row_write> writes,
-                       std::vector<durable::row_address> removals,
-                       done_handler done)
+void state_log::commit(durable::transaction change, done_handler done)
 {
     busy_ = true;
     done_ = std::move(done);
     began_ = clock_.now();
     head_.transaction = base::unique_id();
-    current_ = {};
+    current_ = std::move(change);
     current_.conditions.push_back({head_address(), version_});
-    current_.writes = std::move(writes);
     current_.writes.push_back({head_address(), wire::encode(head_)});
-    current_.removals = std::move(removals);
     ++commit_number_;
     send();
 }
--- a/src/mustardwick/entry/state_log_test.cpp
+++ b/src/mustardwick/entry/state_log_test.cpp
@@ -66,7 +66,7 @@
             io, clock, client, metrics, head_record{1, "a", "", 0, "", false},
             known);
         std::optional<log_result> result;
-        log->commit({}, {},
+        log->commit({},
                     [&](log_result out)
                     {
                         result = out;
@@ -103,7 +103,7 @@
     platform::store_client client(io, address, metrics);
     const auto log = std::make_shared<state_log>(
         io, clock, client, metrics, head_record{1, "a", "", 0, "", false}, 4);
-    log->commit({}, {}, [](log_result) {});
+    log->commit({}, [](log_result) {});
     io.run_for(milliseconds(2800));
     // 8 copies at the usual distance of 350 ms.
     cr_assert_geq(store.calls, 12);
