Count the tasks that fit with one function

The hosted planner had its own copy of policy's units_in, which was private to that package. It is public now, and a waiting step tells how many of its tasks fit. No change of behaviour.

--- a/include/mustardwick/policy/types.hpp
+++ b/include/mustardwick/policy/types.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <string_view>
@@ -32,6 +34,20 @@
 resources operator+(resources left, const resources& right);
 resources operator-(resources left, const resources& right);
 
+/// @brief How many tasks of a size fit in an amount; a task that takes
+/// nothing always fits.
+inline std::int64_t units_in(const resources& space, const resources& size)
+{
+    auto n = std::numeric_limits<std::int64_t>::max();
+    if (size.millicpus > 0)
+        n = std::min(n, space.millicpus / size.millicpus);
+    if (size.memory_mb > 0)
+        n = std::min(n, space.memory_mb / size.memory_mb);
+    if (size.accelerators > 0)
+        n = std::min(n, space.accelerators / size.accelerators);
+    return std::max<std::int64_t>(n, 0);
+}
+
 /// @brief The kinds of submitted work.
 enum class work_kind
 {
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -308,8 +308,7 @@
 
 int planner::slots_on(const host_state& host, const ready_step& step) const
 {
-    const int n = units_in(open_room(host, step), charged_size(step.spec()),
-                           step.waiting);
+    const int n = step.fit_in(open_room(host, step));
     return n == 0 ? 0 : std::min(n, most_tasks_on(host, step));
 }
 
--- a/src/mustardwick/dispatch/planner_room.cpp
+++ b/src/mustardwick/dispatch/planner_room.cpp
@@ -41,8 +41,7 @@
 int planner::potential_slots(const host_state& host,
                              const ready_step& step) const
 {
-    const int n =
-        units_in(host.info.capacity, charged_size(step.spec()), step.waiting);
+    const int n = step.fit_in(host.info.capacity);
     if (n == 0)
         return 0;
     const int soon = std::max(1, n / full_host_share);
--- a/src/mustardwick/dispatch/ready_step.hpp
+++ b/src/mustardwick/dispatch/ready_step.hpp
@@ -51,6 +51,12 @@
         return spec().all_at_once && queue->advice.has_value() &&
                outlook() == policy::outlook::in_time;
     }
+    /// @brief Waiting tasks that fit in an amount.
+    int fit_in(const policy::resources& space) const
+    {
+        return int(std::min<std::int64_t>(
+            policy::units_in(space, charged_size(spec())), waiting));
+    }
     /// @brief The host was allowed before; this never changes for a step.
     bool knows(const candidate& it) const
     {
@@ -66,20 +72,4 @@
     }
 };
 
-/// @brief Tasks of a size that fit; a task that takes nothing always fits.
-inline int units_in(const policy::resources& space,
-                    const policy::resources& size, int most)
-{
-    std::int64_t n = most;
-    const auto bound = [&n](std::int64_t have, std::int64_t need)
-    {
-        if (need > 0)
-            n = std::min(n, have / need);
-    };
-    bound(space.millicpus, size.millicpus);
-    bound(space.memory_mb, size.memory_mb);
-    bound(space.accelerators, size.accelerators);
-    return int(std::max<std::int64_t>(n, 0));
-}
-
 } // namespace mustardwick::dispatch
--- a/src/mustardwick/policy/amounts.hpp
+++ b/src/mustardwick/policy/amounts.hpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <limits>
 
 #include "mustardwick/policy/types.hpp"
 
@@ -23,19 +22,6 @@
             std::max<std::int64_t>(it.accelerators, 0)};
 }
 
-/// @brief How many tasks of a size fit in an amount.
-inline std::int64_t units_in(const resources& space, const resources& size)
-{
-    auto n = std::numeric_limits<std::int64_t>::max();
-    if (size.millicpus > 0)
-        n = std::min(n, space.millicpus / size.millicpus);
-    if (size.memory_mb > 0)
-        n = std::min(n, space.memory_mb / size.memory_mb);
-    if (size.accelerators > 0)
-        n = std::min(n, space.accelerators / size.accelerators);
-    return std::max<std::int64_t>(n, 0);
-}
-
 inline double ratio(std::int64_t part, std::int64_t whole)
 {
     return whole > 0 ? double(part) / double(whole) : 0.0;
