--- a/src/mustardwick/entry/head_store_test.hpp
+++ b/src/mustardwick/entry/head_store_test.hpp
@@ -5,8 +5,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <criterion/criterion.h>
 
 #include "mustardwick/aio/http_listener.hpp"
+#include "mustardwick/base/error.hpp"
+#include "mustardwick/base/log.hpp"
+#include "platform/store_client.hpp"
 
 namespace mustardwick::entry::test
 {
@@ -90,4 +94,29 @@
     std::string value;
 };
 
+/// A store with its client in one process.
+struct store_fixture
+{
+    store_fixture(std::uint16_t port, store_fault fault, std::string head)
+        : store{io, fault, 0, 4, std::move(head)}, address{"127.0.0.1", port},
+          listener(io, address, "Deadline-Ms",
+                   [this](const auto& request, auto respond)
+                   {
+                       store.handle(request, respond);
+                   }),
+          client(io, address, metrics)
+    {
+        base::set_up_log("test", base::log_level::error);
+        cr_assert(listener.start(), "%s", base::last_error().text().c_str());
+    }
+
+    boost::asio::io_context io;
+    base::system_clock clock;
+    base::metrics metrics;
+    head_store store;
+    wire::endpoint address;
+    aio::http_listener listener;
+    platform::store_client client;
+};
+
 } // namespace mustardwick::entry::test
