Keep long-running work at work, and restart the runs of ended workers at once

Cause: a step of long-running tasks was treated like one that ends. Once its job's objective had passed it was past its late deadline and deferred while anything else waited; each failure excluded a worker for good; its tasks' own failures quarantined hosts; a latency-sensitive task found no host where tasks that use idle CPU time ran.

--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -40,6 +40,8 @@
     bool latency_sensitive = false;
     /// Uses only CPU time that other tasks leave idle.
     bool uses_idle_cpu = false;
+    /// Runs until its job is cancelled.
+    bool long_running = false;
     run_phase phase = run_phase::recording;
     /// The worker accepted the start or reported the run.
     bool confirmed = false;
--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -29,8 +29,9 @@
     std::map<std::string, held_ticket, std::less<>> tickets;
     /// Workers that the queue's policy denies; permanent for a step.
     std::set<std::string, std::less<>> denied;
-    /// Workers on which a task of the step failed.
-    std::set<std::string, std::less<>> failed_on;
+    /// Workers on which a task of the step failed, with the time at which the
+    /// step may use them again.
+    std::map<std::string, base::steady_time, std::less<>> failed_on;
     /// Latest expiry of the tickets.
     base::steady_time tickets_until;
     /// Advice queries in flight.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -91,6 +91,12 @@
     void worker_reported(const std::string& id, const jobs::worker_report& it);
     /// @brief Records that a worker did not answer a lease renewal.
     void worker_unresponsive(const std::string& id);
+    /// @brief Records that the process of a worker has ended, so that none of
+    /// its runs is in progress any more.
+    ///
+    /// Unanswered orders are kept until they expire: they may still reach the
+    /// next incarnation.
+    void worker_ended(const std::string& id);
     void start_answered(const start_order& order,
                         const jobs::order_reply& reply);
     void stop_answered(const stop_order& order, const jobs::order_reply& reply);
@@ -227,6 +233,9 @@
     void run_lost(host_state& host, const run_key& key,
                   std::string_view reason);
     void apply_end(host_state& host, const jobs::ended_run& end);
+    /// @brief Counts a failed run against its host, which is quarantined after
+    /// several in a row.
+    void record_host_failure(host_state& host);
     void task_done(job_run& job, const jobs::task_key& task);
     void task_failed(job_run& job, const jobs::task_key& task, int run);
     void stop_run(host_state& host, running& it);
@@ -276,6 +285,11 @@
     policy::waiting_step urgency_inputs(job_run& job);
     void assign(const ready_step& step, int index, int run,
                 const candidate& where);
+    /// @brief Stops the runs that use idle CPU time on a host, because a
+    /// latency-sensitive task is assigned there.
+    void stop_idle_cpu_runs(host_state& host);
+    /// @brief Returns whether a task of a step failed on a host recently.
+    bool has_failed_on(const ready_step& step, const std::string& worker) const;
     void hold_hosts(const advice_query& query);
     void send_query(const ready_step& step, std::vector<std::string> workers);
     /// @brief Removes the hosts that a gang step's query should not cover, and
--- a/include/mustardwick/policy/urgency.hpp
+++ b/include/mustardwick/policy/urgency.hpp
@@ -19,6 +19,9 @@
     std::int64_t time_to_late_deadline_ms = 0;
     /// The job exceeds its account's share.
     bool over_share = false;
+    /// The tasks run until the job is cancelled: there is no completion that
+    /// could be late, and each moment without them loses value.
+    bool long_running = false;
 };
 
 /// @brief The value that a step can still earn when it finishes as early as
@@ -36,9 +39,12 @@
 ///
 /// Load pattern: a burst that leaves more work than fits. Work that can still
 /// meet its objective goes before work that cannot, and work over an account's
-/// share waits for the guaranteed shares of the others.
+/// share waits for the guaranteed shares of the others. Long-running work never
+/// becomes worthless, however long ago its job arrived.
 inline value_class value_class_of(const waiting_step& it)
 {
+    if (it.long_running)
+        return it.over_share ? value_class::late : value_class::in_time;
     if (it.remaining_chain_ms > it.time_to_late_deadline_ms)
         return value_class::past_late_deadline;
     if (it.over_share)
--- a/src/mustardwick/aio/http_channel.cpp
+++ b/src/mustardwick/aio/http_channel.cpp
@@ -155,7 +155,12 @@
         if (timed_out)
             owner->drop_idle();
         owner->released(shared_from_this(), false);
-        call.done({end, 0, {}, ec.message()});
+        call.done({end,
+                   0,
+                   {},
+                   ec.message(),
+                   end == transport_outcome::not_sent &&
+                       ec == asio::error::connection_refused});
     }
 
     void finish_answered()
--- a/src/mustardwick/dispatch/planner_advice.cpp
+++ b/src/mustardwick/dispatch/planner_advice.cpp
@@ -126,6 +126,9 @@
                              return left.near_data;
                          if (left.is_held != right.is_held)
                              return right.is_held;
+                         if (left.runs_idle_cpu_work !=
+                             right.runs_idle_cpu_work)
+                             return right.runs_idle_cpu_work;
                          // Small tasks fill up used hosts, so that large gaps
                          // remain for large tasks.
                          if (is_small)
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -64,6 +64,24 @@
                              }));
 }
 
+bool has_idle_cpu_runs(const host_state& host)
+{
+    return std::any_of(host.runs.begin(), host.runs.end(),
+                       [](const auto& it)
+                       {
+                           return it.second.uses_idle_cpu;
+                       });
+}
+
+bool has_latency_sensitive_runs(const host_state& host)
+{
+    return std::any_of(host.runs.begin(), host.runs.end(),
+                       [](const auto& it)
+                       {
+                           return it.second.latency_sensitive;
+                       });
+}
+
 } // namespace
 
 bool planner::is_usable(const host_state& host, std::string_view service) const
@@ -154,7 +172,7 @@
         open_due_occurrences(job);
         if (job.record.open.empty())
             continue;
-        const auto urgency = policy::urgency_of(urgency_inputs(job));
+        auto inputs = urgency_inputs(job);
         for (std::size_t at = 0; at < job.record.open.size(); ++at)
         {
             const auto& tasks = job.record.open[at].tasks;
@@ -176,10 +194,12 @@
                     continue;
                 // Steps of an account at its maximum are left out: they can
                 // neither start nor use advice, however large the backlog is.
+                inputs.long_running = spec.long_running;
                 if (tasks_within_maximum(job, spec.size) == 0)
                     ++round_.at_maximum;
                 else
-                    out.push_back({&job, at, int(it), queue, waiting, urgency});
+                    out.push_back({&job, at, int(it), queue, waiting,
+                                   policy::urgency_of(inputs)});
             }
         }
     }
@@ -280,12 +300,9 @@
     if (host.consecutive_failures >= failures_before_probation)
         n = host.runs.empty() ? 1 : 0;
     // Tasks that use idle CPU time can slow a latency-sensitive neighbour past
-    // its target; the two are not placed on one host.
-    if (spec.uses_idle_cpu || spec.target_ms > 0)
-        for (const auto& [key, it] : host.runs)
-            if ((spec.uses_idle_cpu && it.latency_sensitive) ||
-                (spec.target_ms > 0 && it.uses_idle_cpu))
-                return 0;
+    // its target; they are not placed on its host.
+    if (spec.uses_idle_cpu && has_latency_sensitive_runs(host))
+        return 0;
     if (spec.max_per_host > 0)
     {
         int already_there = 0;
@@ -331,11 +348,13 @@
         it.slots = slots_on(*host, step);
         const auto& id = host->info.id;
         if ((it.slots == 0 && !reserves) || state.denied.contains(id) ||
-            state.failed_on.contains(id))
+            has_failed_on(step, id))
             continue;
         it.host = host;
         it.is_held = host->held_until > now &&
                      host->held_for != step.job->specification.id;
+        it.runs_idle_cpu_work =
+            step.spec().target_ms > 0 && has_idle_cpu_runs(*host);
         it.near_data = step.spec().preferred_rack.empty() ||
                        step.spec().preferred_rack == host->info.rack;
         if (step.queue->advice)
@@ -354,16 +373,18 @@
             allowed.push_back(std::move(it));
     }
     // Best fit keeps large gaps for large tasks.
-    std::stable_sort(allowed.begin(), allowed.end(),
-                     [](const auto& left, const auto& right)
-                     {
-                         if (left.near_data != right.near_data)
-                             return left.near_data;
-                         if (left.is_held != right.is_held)
-                             return right.is_held;
-                         return left.host->free().millicpus <
-                                right.host->free().millicpus;
-                     });
+    std::stable_sort(
+        allowed.begin(), allowed.end(),
+        [](const auto& left, const auto& right)
+        {
+            if (left.near_data != right.near_data)
+                return left.near_data;
+            if (left.is_held != right.is_held)
+                return right.is_held;
+            if (left.runs_idle_cpu_work != right.runs_idle_cpu_work)
+                return right.runs_idle_cpu_work;
+            return left.host->free().millicpus < right.host->free().millicpus;
+        });
     return allowed;
 }
 
@@ -421,11 +442,37 @@
     return placed == affordable;
 }
 
+void planner::stop_idle_cpu_runs(host_state& host)
+{
+    std::vector<run_key> recording;
+    for (auto& [key, it] : host.runs)
+    {
+        if (!it.uses_idle_cpu || it.phase == run_phase::stopping)
+            continue;
+        if (it.phase == run_phase::recording)
+            recording.push_back(key);
+        else
+            stop_run(host, it);
+    }
+    for (const auto& key : recording)
+        run_lost(host, key, "a latency-sensitive task uses the host");
+}
+
+bool planner::has_failed_on(const ready_step& step,
+                            const std::string& worker) const
+{
+    const auto& failed = step.state().failed_on;
+    const auto it = failed.find(worker);
+    return it != failed.end() && clock_.now() < it->second;
+}
+
 void planner::assign(const ready_step& step, int index, int run,
                      const candidate& where)
 {
     auto& host = *where.host;
     auto& job = *step.job;
+    if (step.spec().target_ms > 0)
+        stop_idle_cpu_runs(host);
     auto& record = step.tasks()[std::size_t(index)];
     record.state = jobs::task_state::assigned;
     record.run = run;
--- a/src/mustardwick/dispatch/planner_preemption.cpp
+++ b/src/mustardwick/dispatch/planner_preemption.cpp
@@ -65,7 +65,7 @@
     for (const auto& [id, ticket] : step.state().tickets)
     {
         const auto it = hosts_.find(id);
-        if (it != hosts_.end() && !step.state().failed_on.contains(id) &&
+        if (it != hosts_.end() && !has_failed_on(step, id) &&
             is_usable(it->second, step.queue->service))
             out.push_back(&it->second);
     }
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -19,6 +19,11 @@
 constexpr int failures_before_quarantine = 2;
 constexpr milliseconds first_quarantine{2000};
 constexpr int max_quarantine_doublings = 3;
+/// A long-running task that fails after this time fails by itself; its host has
+/// shown that it works.
+constexpr milliseconds healthy_run_time{2000};
+/// How long a step avoids a worker on which one of its tasks failed.
+constexpr milliseconds failed_worker_backoff{2000};
 
 std::string_view name_of(jobs::run_outcome how)
 {
@@ -89,6 +94,7 @@
     it.account = job.specification.account;
     it.latency_sensitive = step.target_ms > 0;
     it.uses_idle_cpu = step.uses_idle_cpu;
+    it.long_running = step.long_running;
     it.phase = phase;
     if (!host.runs.emplace(run_key{task, run}, it).second)
         return;
@@ -215,21 +221,30 @@
         finish_job(job, jobs::job_state::failed);
 }
 
+void planner::record_host_failure(host_state& host)
+{
+    if (++host.consecutive_failures < failures_before_quarantine)
+        return;
+    const int doublings =
+        std::min(host.consecutive_failures - failures_before_quarantine,
+                 max_quarantine_doublings);
+    host.avoid_until = clock_.now() + first_quarantine * (1 << doublings);
+    log_event(
+        log_level::warning, "planner", "host_quarantined",
+        {{"worker", host.info.id}, {"failures", host.consecutive_failures}});
+}
+
 void planner::apply_end(host_state& host, const jobs::ended_run& end)
 {
     host.last_applied_end = end.number;
+    const auto run = host.runs.find({end.task, end.run});
+    const bool ran_well = run != host.runs.end() && run->second.long_running &&
+                          run->second.phase == run_phase::started &&
+                          clock_.now() - run->second.started > healthy_run_time;
     remove_run(host, {end.task, end.run});
     const bool failed = end.outcome == jobs::run_outcome::failed;
-    if (failed && ++host.consecutive_failures >= failures_before_quarantine)
-    {
-        const int doublings =
-            std::min(host.consecutive_failures - failures_before_quarantine,
-                     max_quarantine_doublings);
-        host.avoid_until = clock_.now() + first_quarantine * (1 << doublings);
-        log_event(log_level::warning, "planner", "host_quarantined",
-                  {{"worker", host.info.id},
-                   {"failures", host.consecutive_failures}});
-    }
+    if (failed && !ran_well)
+        record_host_failure(host);
     if (end.outcome == jobs::run_outcome::done)
         host.consecutive_failures = 0;
     metrics_.add("mustardwick_runs_ended_" + std::string(name_of(end.outcome)) +
@@ -264,7 +279,8 @@
     if (failed)
     {
         if (auto* state = find_step(end.task))
-            state->failed_on.insert(host.info.id);
+            state->failed_on[host.info.id] =
+                clock_.now() + failed_worker_backoff;
         task_failed(*job, end.task, end.run);
     }
     requeue(end.task, end.run, end.checkpoint);
--- a/src/mustardwick/dispatch/ready_step.hpp
+++ b/src/mustardwick/dispatch/ready_step.hpp
@@ -21,6 +21,8 @@
     bool near_data = false;
     /// Held for the advice query of another job.
     bool is_held = false;
+    /// A latency-sensitive task would stop runs that use idle CPU time there.
+    bool runs_idle_cpu_work = false;
 };
 
 /// @brief A step whose tasks may start as soon as there is free capacity.
--- a/src/mustardwick/policy/load_policy_test.cpp
+++ b/src/mustardwick/policy/load_policy_test.cpp
@@ -33,6 +33,12 @@
         order_case{"over share after late",
                    {2, 600, 500, 900, false},
                    {0, 100, 500, 900, true}},
+        order_case{"long-running work of an old job before late work",
+                   {1, 100, -9000, -8000, false, true},
+                   {0, 600, 500, 900}},
+        order_case{"long-running work over share before finite work over share",
+                   {1, 100, -9000, -8000, true, true},
+                   {0, 100, 500, 900, true}},
     };
     for (const auto& it : cases)
         cr_assert_lt(urgency_of(it.first), urgency_of(it.second), "%s",
