Examine few hosts in each placement round

Cause: a round looked up every host by name for every waiting step: 190 steps x 540 hosts took about 30 ms on the large site's leader. Rounds may take a fifth of the time, so work waited 155 ms in the median for one, and urgent jobs became late. Leases of all hosts were checked, and stops searched on all hosts, at every event. Change: the advisor's answers are kept by host index (host_access); a step that cannot query examines only hosts with tickets; a gang step that needs no query looks at all hosts every 50 ms; a host without free processors is skipped before anything else; lookups by name in rounds, reports and counts are gone. The leader's status line shows lag_ms, round_us and hosts_examined.

--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -43,6 +43,8 @@
     /// Runs until its job is cancelled.
     bool long_running = false;
     run_phase phase = run_phase::recording;
+    /// Number of the last report of its host that listed the run.
+    std::uint64_t listed_in = 0;
     /// The worker accepted the start or reported the run.
     bool confirmed = false;
     /// Worker clock reading after which an unanswered start order has no
@@ -61,6 +63,8 @@
 /// @brief State of one worker, as known to the planner.
 struct host_state
 {
+    /// Position in the planner's list of hosts; never reused.
+    std::size_t index = 0;
     jobs::worker_info info;
     /// The worker registry lists it.
     bool listed = false;
@@ -83,6 +87,8 @@
     /// Numbers of the applied ends whose effects are not yet committed.
     std::set<std::int64_t> uncommitted_ends;
     std::map<run_key, running> runs;
+    /// Number of the last report.
+    std::uint64_t report = 0;
     policy::resources used;
     /// Capacity reserved for more urgent steps in this placement round; it may
     /// exceed what is free now.
--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -2,11 +2,11 @@
 
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "mustardwick/base/clock.hpp"
+#include "mustardwick/dispatch/host_access.hpp"
 #include "mustardwick/dispatch/host_state.hpp"
 #include "mustardwick/dispatch/orders.hpp"
 #include "mustardwick/jobs/configuration.hpp"
@@ -16,22 +16,13 @@
 namespace mustardwick::dispatch
 {
 
-/// @brief An advice ticket and its expiry.
-struct held_ticket
-{
-    std::string ticket;
-    base::steady_time expires;
-};
-
 /// @brief State of one step of one occurrence that is only kept in memory.
 struct step_run
 {
-    std::map<std::string, held_ticket, std::less<>> tickets;
-    /// Workers that the queue's policy denies; permanent for a step.
-    std::set<std::string, std::less<>> denied;
-    /// Workers on which a task of the step failed, with the time at which the
-    /// step may use them again.
-    std::map<std::string, base::steady_time, std::less<>> failed_on;
+    host_access access;
+    /// Hosts by index on which a task of the step failed, with the time at
+    /// which the step may use them again.
+    std::map<std::size_t, base::steady_time> failed_on;
     /// Latest expiry of the tickets.
     base::steady_time tickets_until;
     /// Advice queries in flight.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -59,6 +59,9 @@
     std::size_t without_capacity = 0;
     /// Steps deferred in favour of waiting steps of a higher value class.
     std::size_t deferred = 0;
+    /// Hosts examined for all steps together.
+    std::size_t hosts_examined = 0;
+    std::chrono::microseconds duration{0};
     std::size_t usable_hosts = 0;
     std::int64_t free_millicpus = 0;
 };
@@ -193,6 +196,8 @@
     struct ready_step;
 
     // planner.cpp
+    /// @brief Returns the state of a host, which is added when it is new.
+    host_state& host_of(const std::string& id);
     job_run* find_job(const std::string& id);
     void mark_dirty(job_run& job);
     void open_occurrence(job_run& job, std::int64_t number);
@@ -261,6 +266,8 @@
     void place_waiting_steps();
     std::vector<ready_step> collect_ready_steps();
     bool can_use_advice(const ready_step& step);
+    /// @brief Returns whether an advice query may be sent for a step now.
+    bool may_query(const ready_step& step) const;
     /// @brief Returns false when the step has to wait for capacity or advice.
     bool place_step(const ready_step& step);
     /// @brief Returns whether most processors of a service's hosts are in use.
@@ -289,7 +296,7 @@
     /// latency-sensitive task is assigned there.
     void stop_idle_cpu_runs(host_state& host);
     /// @brief Returns whether a task of a step failed on a host recently.
-    bool has_failed_on(const ready_step& step, const std::string& worker) const;
+    bool has_failed_on(const ready_step& step, const host_state& host) const;
     void hold_hosts(const advice_query& query);
     void send_query(const ready_step& step, std::vector<std::string> workers);
     /// @brief Removes the hosts that a gang step's query should not cover, and
@@ -307,8 +314,10 @@
     std::set<std::string, std::less<>> evacuated_;
     std::unordered_map<std::string, job_run> jobs_;
     /// Jobs that have not ended, oldest first.
-    std::map<std::uint64_t, std::string> active_;
+    std::map<std::uint64_t, job_run*> active_;
     std::map<std::string, host_state, std::less<>> hosts_;
+    /// Hosts by index; null once a host is removed.
+    std::vector<host_state*> host_at_;
     std::map<std::string, account_usage, std::less<>> accounts_;
     std::map<std::string, policy::allowed_share, std::less<>> allowed_share_;
     std::deque<std::string> dirty_;
@@ -333,6 +342,7 @@
     std::uint64_t next_number_ = 0;
     time_point created_;
     time_point next_sweep_;
+    time_point next_lease_check_;
 };
 
 } // namespace mustardwick::dispatch
--- a/src/mustardwick/dispatch/load_replay_test.cpp
+++ b/src/mustardwick/dispatch/load_replay_test.cpp
@@ -68,6 +68,26 @@
     return out;
 }
 
+/// Jobs of a cell of 540 hosts in its busiest seconds, with the costs of advice
+/// that were configured there.
+std::vector<job_kind> large_fleet_jobs(double factor)
+{
+    auto wide = wide_jobs(7.9 * factor, 20);
+    wide.run_ms = 4000;
+    wide.advice = {410, 5.9, 2500};
+    auto batch = batch_jobs(17 * factor);
+    batch.tasks = 19;
+    batch.millicpus = 5200;
+    batch.run_ms = 2700;
+    batch.advice = {140, 2, 2500};
+    auto urgent = urgent_jobs(123 * factor);
+    urgent.tasks = 3;
+    urgent.millicpus = 7500;
+    urgent.run_ms = 640;
+    urgent.advice = {13, 0.18, 2500};
+    return {wide, batch, urgent};
+}
+
 struct replay_case
 {
     const char* name;
@@ -117,3 +137,19 @@
                           out[kind].submitted);
     }
 }
+
+// Guards against placement rounds whose length is the product of the backlog
+// and the number of hosts. Rounds took 30 ms on the leader of 540 hosts, which
+// limited them to seven a second, and half of the urgent jobs waited 155 ms.
+Test(load_replay, examines_few_hosts_for_a_backlog)
+{
+    constexpr int hosts = 540;
+    load_replay replay(hosts, 97, large_fleet_jobs(1.4), 7);
+    const auto out = replay.simulate();
+    // A third of the hosts: those with tickets, and all of them for the few
+    // steps that send a query in this round.
+    cr_assert_leq(replay.examined_per_step(), hosts / 3.0, "%f",
+                  replay.examined_per_step());
+    for (const auto& it : out)
+        cr_expect_geq(it.share(), 0.9, "%d of %d", it.in_time, it.submitted);
+}
--- a/src/mustardwick/dispatch/load_replay_test.hpp
+++ b/src/mustardwick/dispatch/load_replay_test.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 #include <map>
 #include <random>
@@ -82,6 +83,7 @@
             end_runs();
             answer_queries();
             carry_out(take_orders());
+            count_examined();
             cell_.commit();
             carry_out(take_orders());
             count_completed(out);
@@ -89,7 +91,26 @@
         return out;
     }
 
+    /// @brief Returns how many hosts a round examines on average for each step
+    /// of a backlog.
+    double examined_per_step() const
+    {
+        return double(examined_) / double(std::max<std::size_t>(1, steps_));
+    }
+
 private:
+    /// Smaller rounds are short however many hosts each step examines.
+    static constexpr std::size_t min_backlog = 40;
+
+    void count_examined()
+    {
+        const auto& round = cell_.plan.last_round();
+        if (round.ready_steps < min_backlog)
+            return;
+        examined_ += round.hosts_examined;
+        steps_ += round.ready_steps;
+    }
+
     static constexpr std::int64_t arrivals_ms = 20'000;
     /// Time for which a stopped run still occupies its host.
     static constexpr std::int64_t stop_ms = 400;
@@ -252,6 +273,9 @@
     std::map<std::string, std::vector<host_run>> runs_;
     std::map<std::string, std::int64_t> ends_;
     std::vector<pending_query> queries_;
+    /// Sums over the rounds with a backlog.
+    std::size_t examined_ = 0;
+    std::size_t steps_ = 0;
 };
 
 } // namespace mustardwick::dispatch::test
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -49,6 +49,17 @@
     placement_due_ = true;
 }
 
+host_state& planner::host_of(const std::string& id)
+{
+    const auto [it, added] = hosts_.try_emplace(id);
+    if (added)
+    {
+        it->second.index = host_at_.size();
+        host_at_.push_back(&it->second);
+    }
+    return it->second;
+}
+
 job_run* planner::find_job(const std::string& id)
 {
     const auto it = jobs_.find(id);
@@ -118,7 +129,7 @@
             !usage_of(account->first)
                  .share.take(job.arrived, account->second.weight);
     job.replies.push_back({std::move(done), std::move(on_refused)});
-    active_[job.number] = id;
+    active_[job.number] = &job;
     if (job.specification.occurrences == 0)
         open_occurrence(job, 0);
     else
@@ -145,7 +156,7 @@
         job.steps.emplace_back(job.specification.steps.size());
     if (is_final(job.record.state))
         return;
-    active_[job.number] = id;
+    active_[job.number] = &job;
     // A lease that the former leader renewed may last this long, since a
     // worker's clock may be 2 % slow.
     const auto bound = created_ + options_.former_leader_authority +
@@ -160,7 +171,7 @@
                                   task.state == jobs::task_state::done;
                 if (task.state != jobs::task_state::assigned)
                     continue;
-                auto& host = hosts_[task.worker];
+                auto& host = host_of(task.worker);
                 host.info.id = task.worker;
                 // Rows may still name a former incarnation of the worker.
                 host.incarnation_start_ms =
@@ -243,12 +254,9 @@
 std::size_t planner::waiting_jobs(std::string_view queue) const
 {
     std::size_t n = 0;
-    for (const auto& [number, id] : active_)
-    {
-        const auto& job = jobs_.at(id);
-        if (job.specification.queue == queue && !job.has_started)
+    for (const auto& [number, job] : active_)
+        if (job->specification.queue == queue && !job->has_started)
             ++n;
-    }
     return n;
 }
 
@@ -436,8 +444,11 @@
                   [&](const auto& entry)
                   {
                       const auto& host = entry.second;
-                      return !host.listed && host.runs.empty() &&
-                             host.lease_bound < now;
+                      const bool removed = !host.listed && host.runs.empty() &&
+                                           host.lease_bound < now;
+                      if (removed)
+                          host_at_[host.index] = nullptr;
+                      return removed;
                   });
 }
 
--- a/src/mustardwick/dispatch/planner_advice.cpp
+++ b/src/mustardwick/dispatch/planner_advice.cpp
@@ -23,6 +23,9 @@
 constexpr int small_tasks_per_host = 6;
 /// Delay after a query that was not answered.
 constexpr milliseconds query_retry_delay{150};
+/// Interval at which a gang step that needs no query examines all hosts again;
+/// between these checks it examines those with tickets.
+constexpr milliseconds query_check_interval{50};
 
 } // namespace
 
@@ -33,11 +36,16 @@
     // A search over all hosts is useful only with tickets or a free channel;
     // otherwise each round would search all hosts for every step of a backlog
     // of thousands.
-    const bool may_query =
-        advice_.free > 0 && state.open_queries == 0 && state.next_query <= now;
     if (state.open_queries > 0)
         ++round_.awaiting_advice;
-    return may_query || state.tickets_until > now + ticket_reserve;
+    return may_query(step) || state.tickets_until > now + ticket_reserve;
+}
+
+bool planner::may_query(const ready_step& step) const
+{
+    const auto& state = step.state();
+    return advice_.free > 0 && state.open_queries == 0 &&
+           state.next_query <= clock_.now();
 }
 
 /// @brief What a query has to find.
@@ -61,7 +69,7 @@
     int soon = 0;
     for (const auto& it : unknown)
     {
-        const bool known = step.was_allowed(it);
+        const bool known = it.was_allowed;
         likely += (known ? 1.0 : whole.share) * std::min(it.slots, missing);
         now += known ? it.slots : 0;
         soon += known ? potential_slots(*it.host, step) : 0;
@@ -81,7 +89,7 @@
         std::erase_if(unknown,
                       [&](const candidate& it)
                       {
-                          return it.slots == 0 || !step.was_allowed(it);
+                          return it.slots == 0 || !it.was_allowed;
                       });
         return {missing, 1.0};
     }
@@ -92,7 +100,7 @@
     std::erase_if(unknown,
                   [&](const candidate& it)
                   {
-                      return step.was_allowed(it);
+                      return it.was_allowed;
                   });
     return {missing - soon, whole.share};
 }
@@ -100,15 +108,16 @@
 void planner::query_advice(const ready_step& step,
                            std::vector<candidate> unknown, int missing)
 {
-    auto& state = step.state();
-    if (state.open_queries > 0 || state.next_query > clock_.now() ||
-        advice_.free == 0)
+    if (!may_query(step))
         return;
     query_need need{missing, allowed_share_[step.queue->name].value()};
     if (step.may_reserve())
         need = narrow_query(step, unknown, need);
     if (need.tasks == 0)
+    {
+        step.state().next_query = clock_.now() + query_check_interval;
         return;
+    }
     const auto size = charged_size(step.spec()).millicpus;
     const bool is_small =
         !unknown.empty() && size * small_tasks_per_host <=
@@ -118,8 +127,8 @@
     std::stable_sort(unknown.begin(), unknown.end(),
                      [&](const auto& left, const auto& right)
                      {
-                         const bool left_known = step.was_allowed(left);
-                         const bool right_known = step.was_allowed(right);
+                         const bool left_known = left.was_allowed;
+                         const bool right_known = right.was_allowed;
                          if (left_known != right_known)
                              return left_known;
                          if (left.near_data != right.near_data)
@@ -214,27 +223,33 @@
     const auto answered = sent_at + milliseconds(query.expected_ms);
     const auto expires =
         answered + milliseconds(queue->second.advice->valid_ms);
-    std::size_t new_hosts = 0;
+    std::vector<host_state*> queried;
     for (const auto& id : query.workers)
-        if (!state->tickets.contains(id))
-            ++new_hosts;
-    std::size_t granted = 0;
-    for (const auto& it : *allowed)
+        if (const auto it = hosts_.find(id); it != hosts_.end())
+            queried.push_back(&it->second);
+    const auto count_allowed = [&]
     {
-        if (!state->tickets.contains(it.worker))
-            ++granted;
-        state->tickets[it.worker] = {it.ticket, expires};
-    }
+        return std::count_if(queried.begin(), queried.end(),
+                             [&](const auto* host)
+                             {
+                                 return state->access.is_allowed(host->index);
+                             });
+    };
+    const auto allowed_before = count_allowed();
+    for (const auto& it : *allowed)
+        if (const auto host = hosts_.find(it.worker); host != hosts_.end())
+            state->access.allow(host->second.index, {it.ticket, expires});
     if (!allowed->empty())
         state->tickets_until = std::max(state->tickets_until, expires);
-    allowed_share_[queue->first].record(new_hosts, granted);
-    for (const auto& id : query.workers)
-        if (!state->tickets.contains(id))
+    allowed_share_[queue->first].record(
+        queried.size() - std::size_t(allowed_before),
+        std::size_t(count_allowed() - allowed_before));
+    for (auto* host : queried)
+        if (!state->access.is_allowed(host->index))
         {
-            state->denied.insert(id);
-            const auto host = hosts_.find(id);
-            if (host != hosts_.end() && host->second.held_for == query.job)
-                host->second.held_until = {};
+            state->access.deny(host->index);
+            if (host->held_for == query.job)
+                host->held_until = {};
         }
 }
 
--- a/src/mustardwick/dispatch/planner_orders.cpp
+++ b/src/mustardwick/dispatch/planner_orders.cpp
@@ -67,7 +67,7 @@
     if (reply.result == order_result::bad_ticket)
     {
         if (auto* step = find_step(order.task))
-            step->tickets.erase(order.worker);
+            step->access.reset(host.index);
     }
     else if (reply.result != order_result::stale_run &&
              reply.result != order_result::expired)
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -163,9 +163,9 @@
 {
     std::vector<ready_step> out;
     const auto now = clock_.now();
-    for (const auto& [number, id] : active_)
+    for (const auto& [number, active] : active_)
     {
-        auto& job = jobs_.at(id);
+        auto& job = *active;
         const auto* queue = context_of(job).queue;
         if (queue == nullptr)
             continue;
@@ -250,9 +250,11 @@
         capacity_short =
             capacity_short || (waits && is_busy(it.queue->service));
     }
-    metrics_.observe(
-        "mustardwick_placement_round_seconds",
-        std::chrono::duration<double>(clock_.now() - started).count());
+    const auto took = clock_.now() - started;
+    round_.duration =
+        std::chrono::duration_cast<std::chrono::microseconds>(took);
+    metrics_.observe("mustardwick_placement_round_seconds",
+                     std::chrono::duration<double>(took).count());
 }
 
 planner::processors planner::processors_of(std::string_view service) const
@@ -330,6 +332,12 @@
 
 int planner::slots_on(const host_state& host, const ready_step& step) const
 {
+    // Most hosts of a full cell have too little of a single resource.
+    const auto size = charged_size(step.spec());
+    if (host.info.capacity.millicpus - host.used.millicpus -
+            host.reserved.millicpus <
+        size.millicpus)
+        return 0;
     const int n = step.fit_in(unreserved_capacity(host, step));
     return n == 0 ? 0 : std::min(n, max_tasks_on(host, step));
 }
@@ -342,13 +350,19 @@
     const auto now = clock_.now();
     const auto& state = step.state();
     const bool reserves = step.may_reserve();
-    for (auto* host : round_hosts_[step.queue->service])
+    // Without a query only the hosts with tickets can be used.
+    const bool tickets_only = step.queue->advice && !may_query(step);
+    const auto with_tickets =
+        tickets_only ? allowed_hosts(step) : std::vector<host_state*>();
+    for (auto* host :
+         tickets_only ? with_tickets : round_hosts_[step.queue->service])
     {
+        if (state.access.is_denied(host->index))
+            continue;
+        ++round_.hosts_examined;
         candidate it;
         it.slots = slots_on(*host, step);
-        const auto& id = host->info.id;
-        if ((it.slots == 0 && !reserves) || state.denied.contains(id) ||
-            has_failed_on(step, id))
+        if ((it.slots == 0 && !reserves) || has_failed_on(step, *host))
             continue;
         it.host = host;
         it.is_held = host->held_until > now &&
@@ -359,18 +373,17 @@
                        step.spec().preferred_rack == host->info.rack;
         if (step.queue->advice)
         {
-            const auto ticket = state.tickets.find(id);
-            if (ticket == state.tickets.end() ||
-                ticket->second.expires < now + ticket_reserve)
+            it.was_allowed = state.access.is_allowed(host->index);
+            it.ticket = state.access.ticket(host->index);
+            if (it.ticket == nullptr ||
+                it.ticket->expires < now + ticket_reserve)
             {
-                unknown.push_back(std::move(it));
+                unknown.push_back(it);
                 continue;
             }
-            it.ticket = ticket->second.ticket;
-            it.ticket_expires = ticket->second.expires;
         }
         if (it.slots > 0)
-            allowed.push_back(std::move(it));
+            allowed.push_back(it);
     }
     // Best fit keeps large gaps for large tasks.
     std::stable_sort(
@@ -459,10 +472,10 @@
 }
 
 bool planner::has_failed_on(const ready_step& step,
-                            const std::string& worker) const
+                            const host_state& host) const
 {
     const auto& failed = step.state().failed_on;
-    const auto it = failed.find(worker);
+    const auto it = failed.find(host.index);
     return it != failed.end() && clock_.now() < it->second;
 }
 
@@ -487,8 +500,11 @@
     order.run = run;
     order.payload = job.specification.payload;
     order.checkpoint = record.checkpoint;
-    order.ticket = where.ticket;
-    order.ticket_expires = where.ticket_expires;
+    if (where.ticket != nullptr)
+    {
+        order.ticket = where.ticket->ticket;
+        order.ticket_expires = where.ticket->expires;
+    }
     job.starts.push_back(std::move(order));
     if (job.record.state == jobs::job_state::queued)
     {
--- a/src/mustardwick/dispatch/planner_preemption.cpp
+++ b/src/mustardwick/dispatch/planner_preemption.cpp
@@ -62,12 +62,12 @@
 std::vector<host_state*> planner::allowed_hosts(const ready_step& step)
 {
     std::vector<host_state*> out;
-    for (const auto& [id, ticket] : step.state().tickets)
+    for (const auto& [index, ticket] : step.state().access.tickets())
     {
-        const auto it = hosts_.find(id);
-        if (it != hosts_.end() && !has_failed_on(step, id) &&
-            is_usable(it->second, step.queue->service))
-            out.push_back(&it->second);
+        auto* host = host_at_[index];
+        if (host != nullptr && !has_failed_on(step, *host) &&
+            is_usable(*host, step.queue->service))
+            out.push_back(host);
     }
     return out;
 }
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -1,4 +1,4 @@
-#include <set>
+#include <vector>
 
 #include "mustardwick/base/log.hpp"
 #include "mustardwick/dispatch/planner.hpp"
@@ -23,7 +23,7 @@
 
 void planner::worker_listed(const jobs::worker_info& info)
 {
-    auto& host = hosts_[info.id];
+    auto& host = host_of(info.id);
     const bool changed = !host.listed || !(host.info == info);
     host.listed = true;
     if (!changed)
@@ -130,6 +130,7 @@
     }
     auto& run = it->second;
     run.confirmed = true;
+    run.listed_in = host.report;
     if (!listed.checkpoint.empty())
         run.checkpoint = listed.checkpoint;
     if (run.phase == run_phase::ordered || run.phase == run_phase::inherited)
@@ -178,18 +179,15 @@
 void planner::reconcile_with_report(host_state& host,
                                     const jobs::worker_report& report)
 {
-    std::set<run_key> listed;
+    ++host.report;
     for (const auto& it : report.running)
-    {
         reconcile_listed_run(host, it);
-        listed.insert({it.task, it.run});
-    }
     if (report.ended.size() >= ends_per_page)
         return;
     std::vector<run_key> terminated;
     for (auto& [key, it] : host.runs)
     {
-        if (listed.contains(key))
+        if (it.listed_in == host.report)
             continue;
         if (is_terminated(it, report.clock_ms))
             terminated.push_back(key);
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -24,6 +24,7 @@
 constexpr milliseconds healthy_run_time{2000};
 /// How long a step avoids a worker on which one of its tasks failed.
 constexpr milliseconds failed_worker_backoff{2000};
+constexpr milliseconds lease_check_interval{20};
 
 std::string_view name_of(jobs::run_outcome how)
 {
@@ -136,6 +137,8 @@
 void planner::stop_step_runs(const job_run& job, std::int64_t occurrence,
                              int step)
 {
+    if (job.runs == 0)
+        return;
     const jobs::task_key first{job.specification.id, occurrence, step, 0};
     for (auto& [id, host] : hosts_)
     {
@@ -279,8 +282,7 @@
     if (failed)
     {
         if (auto* state = find_step(end.task))
-            state->failed_on[host.info.id] =
-                clock_.now() + failed_worker_backoff;
+            state->failed_on[host.index] = clock_.now() + failed_worker_backoff;
         task_failed(*job, end.task, end.run);
     }
     requeue(end.task, end.run, end.checkpoint);
@@ -316,6 +318,9 @@
 void planner::handle_expired_leases()
 {
     const auto now = clock_.now();
+    if (now < next_lease_check_)
+        return;
+    next_lease_check_ = now + lease_check_interval;
     for (auto& [id, host] : hosts_)
         if (!host.reachable && !host.runs.empty() && now > host.lease_bound)
         {
--- a/src/mustardwick/dispatch/ready_step.hpp
+++ b/src/mustardwick/dispatch/ready_step.hpp
@@ -16,8 +16,10 @@
 {
     host_state* host = nullptr;
     int slots = 0;
-    std::string ticket;
-    base::steady_time ticket_expires = base::steady_time::max();
+    /// Null when the queue needs no advice.
+    const held_ticket* ticket = nullptr;
+    /// The advisor allowed the host before; its ticket may have expired.
+    bool was_allowed = false;
     bool near_data = false;
     /// Held for the advice query of another job.
     bool is_held = false;
@@ -61,12 +63,6 @@
         return int(std::min<std::int64_t>(
             policy::units_in(space, charged_size(spec())), waiting));
     }
-    /// @brief Returns whether the host was allowed before. It stays allowed for
-    /// the step, but its ticket may have expired.
-    bool was_allowed(const candidate& it) const
-    {
-        return state().tickets.contains(it.host->info.id);
-    }
     policy::value_class value_class() const
     {
         return std::get<0>(urgency);
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -297,18 +297,26 @@
     const auto now = env_.clock.now();
     if (now < next_status_)
         return;
+    // The lag of this timer shows a leader that is short of processor time.
+    const auto lag = next_status_ == base::steady_time()
+                         ? base::steady_time::duration(0)
+                         : now - next_status_;
     next_status_ = now + status_interval;
     const auto& round = planner_.last_round();
-    log_event(log_level::info, "leader", "status",
-              {{"active_jobs", round.active_jobs},
-               {"ready_steps", round.ready_steps},
-               {"at_maximum", round.at_maximum},
-               {"awaiting_advice", round.awaiting_advice},
-               {"free_channels", advice_->capacity().free},
-               {"without_capacity", round.without_capacity},
-               {"deferred", round.deferred},
-               {"usable_hosts", round.usable_hosts},
-               {"free_millicpus", round.free_millicpus}});
+    log_event(
+        log_level::info, "leader", "status",
+        {{"lag_ms", std::chrono::duration_cast<milliseconds>(lag).count()},
+         {"round_us", std::int64_t(round.duration.count())},
+         {"hosts_examined", round.hosts_examined},
+         {"active_jobs", round.active_jobs},
+         {"ready_steps", round.ready_steps},
+         {"at_maximum", round.at_maximum},
+         {"awaiting_advice", round.awaiting_advice},
+         {"free_channels", advice_->capacity().free},
+         {"without_capacity", round.without_capacity},
+         {"deferred", round.deferred},
+         {"usable_hosts", round.usable_hosts},
+         {"free_millicpus", round.free_millicpus}});
 }
 
 void cell_leader::step_down(std::string_view reason,
