--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -73,11 +73,13 @@
     }
 
 private:
-    void load_table(const std::string& table, const std::string& from);
-    void retry_load(const std::string& table, const std::string& from);
+    void load_table(const std::string& table);
     void load_members();
     void loaded();
-    void poll_registry(bool full_read);
+    void read_registry();
+    void registry_read(std::vector<durable::row> rows, std::int64_t version);
+    void follow_registry();
+    void follow_registry_later();
     void apply_registry(const std::vector<durable::row>& rows, bool full_read);
     void schedule_work();
     void work();
--- a/src/mustardwick/aio/framed_stream.hpp
+++ b/src/mustardwick/aio/framed_stream.hpp
@@ -4,10 +4,11 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include "mustardwick/base/error.hpp"
@@ -35,7 +36,7 @@
     {
         on_frame_ = std::move(on_frame);
         on_close_ = std::move(on_close);
-        read_length();
+        read();
     }
 
     /// Limit on the bytes that are queued or being written, for a peer that
@@ -65,49 +66,58 @@
     }
 
 private:
-    void read_length()
+    /// Reads whatever has arrived. A read that does not fill the buffer shows
+    /// that the socket is drained, so that the next one waits without trying.
+    void read()
     {
-        boost::asio::async_read(socket_, boost::asio::buffer(length_),
-                                [self = shared_from_this()](
-                                    boost::system::error_code ec, std::size_t)
-                                {
-                                    if (ec)
-                                        return self->close_with(ec);
-                                    const auto n =
-                                        wire::decode_length(self->length_);
-                                    if (!n)
-                                        return self->reject_frame();
-                                    self->read_body(*n);
-                                });
+        socket_.async_read_some(
+            boost::asio::buffer(buffer_),
+            [self = shared_from_this()](boost::system::error_code ec,
+                                        std::size_t n)
+            {
+                if (ec)
+                    return self->close_with(ec);
+                self->received_.append(self->buffer_.data(), n);
+                if (self->handle_frames() && self->socket_.is_open())
+                    self->read();
+            });
     }
 
-    void read_body(std::size_t n)
+    /// Handles all complete frames; returns false once the stream is closed.
+    bool handle_frames()
     {
-        body_.resize(n);
-        boost::asio::async_read(socket_, boost::asio::buffer(body_),
-                                [self = shared_from_this()](
-                                    boost::system::error_code ec, std::size_t)
-                                {
-                                    if (ec)
-                                        return self->close_with(ec);
-                                    auto frame = wire::decode_frame(self->body_,
-                                                                    self->key_);
-                                    if (!frame)
-                                        return self->reject_frame();
-                                    // A copy, because the handler may close
-                                    // this stream, which resets on_frame_.
-                                    if (const auto handler = self->on_frame_)
-                                        handler(std::move(*frame));
-                                    if (self->socket_.is_open())
-                                        self->read_length();
-                                });
+        std::size_t at = 0;
+        while (received_.size() - at >= wire::length_bytes)
+        {
+            const auto n = wire::decode_length(
+                std::span(received_).subspan(at, wire::length_bytes));
+            if (!n)
+                return reject_frame();
+            if (received_.size() - at - wire::length_bytes < *n)
+                break;
+            const auto body =
+                std::string_view(received_).substr(at + wire::length_bytes, *n);
+            auto frame = wire::decode_frame(body, key_);
+            if (!frame)
+                return reject_frame();
+            at += wire::length_bytes + *n;
+            // A copy, because the handler may close this stream, which resets
+            // on_frame_.
+            const auto handler = on_frame_;
+            if (!handler)
+                return false;
+            handler(std::move(*frame));
+        }
+        received_.erase(0, at);
+        return true;
     }
 
-    void reject_frame()
+    bool reject_frame()
     {
         base::log_event(base::log_level::warning, "peers", "frame_refused",
                         {{"reason", base::last_error().text()}});
         close_with(boost::asio::error::invalid_argument);
+        return false;
     }
 
     void write_next()
@@ -143,8 +153,11 @@
     std::string key_;
     frame_handler on_frame_;
     close_handler on_close_;
-    std::array<char, wire::length_bytes> length_{};
-    std::string body_;
+    static constexpr std::size_t read_bytes = 8192;
+
+    std::array<char, read_bytes> buffer_{};
+    /// Bytes that were received and not handled yet.
+    std::string received_;
     std::deque<std::string> queue_;
     std::string batch_;
     std::size_t unsent_ = 0;
--- a/src/mustardwick/aio/peer_hub.cpp
+++ b/src/mustardwick/aio/peer_hub.cpp
@@ -4,7 +4,9 @@
 #include <set>
 #include <vector>
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 
 #include "framed_stream.hpp"
 #include "mustardwick/aio/acceptor.hpp"
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -116,9 +116,9 @@
     check_leadership();
     load_members();
     tables_to_load_ = 2;
-    load_table(job_table, "");
-    load_table(progress_table, "");
-    poll_registry(true);
+    load_table(job_table);
+    load_table(progress_table);
+    read_registry();
 }
 
 void cell_leader::stop()
--- a/src/mustardwick/entry/cell_leader_load.cpp
+++ b/src/mustardwick/entry/cell_leader_load.cpp
@@ -4,6 +4,7 @@
 
 #include "mustardwick/base/error.hpp"
 #include "mustardwick/base/log.hpp"
+#include "mustardwick/entry/table_scan.hpp"
 #include "mustardwick/wire/codec.hpp"
 #include "platform/operator_rows.hpp"
 
@@ -21,7 +22,6 @@
 /// a worker is draining.
 constexpr milliseconds registry_interval{350};
 constexpr milliseconds read_timeout{1000};
-constexpr milliseconds read_retry{120};
 constexpr int page_rows = 500;
 
 } // namespace
@@ -46,38 +46,27 @@
         });
 }
 
-void cell_leader::load_table(const std::string& table, const std::string& from)
+void cell_leader::load_table(const std::string& table)
 {
-    env_.store.read(table, plan_partition, from, page_rows, read_timeout,
-                    [self = shared_from_this(), table,
-                     from](const durable::store_reply& reply)
-                    {
-                        if (self->stopped_)
-                            return;
-                        if (!reply.ok())
-                            return self->retry_load(table, from);
-                        for (const auto& it : reply.rows)
-                            self->stored_.add(it);
-                        if (reply.has_more && !reply.rows.empty())
-                            // The smallest key after the last one read.
-                            self->load_table(
-                                table, reply.rows.back().address.key + '\0');
-                        else if (--self->tables_to_load_ == 0)
-                            self->loaded();
-                    });
-}
-
-void cell_leader::retry_load(const std::string& table, const std::string& from)
-{
-    const auto timer =
-        std::make_shared<boost::asio::steady_timer>(env_.io, read_retry);
-    timer->async_wait(
-        [self = shared_from_this(), timer, table,
-         from](boost::system::error_code ec)
-        {
-            if (!ec && !self->stopped_)
-                self->load_table(table, from);
-        });
+    using scan = table_scan<platform::store_client>;
+    const auto self = shared_from_this();
+    std::make_shared<scan>(
+        env_.io, env_.store, table, plan_partition,
+        scan::events{[self]
+                     {
+                         return self->stopped_;
+                     },
+                     [self](const std::vector<durable::row>& rows)
+                     {
+                         for (const auto& it : rows)
+                             self->stored_.add(it);
+                     },
+                     [self](std::int64_t)
+                     {
+                         if (--self->tables_to_load_ == 0)
+                             self->loaded();
+                     }})
+        ->start();
 }
 
 void cell_leader::loaded()
@@ -103,45 +92,76 @@
         apply_registry(*std::exchange(pending_registry_, std::nullopt), true);
 }
 
-void cell_leader::poll_registry(bool full_read)
+void cell_leader::read_registry()
 {
     if (stopped_)
         return;
-    const auto done = [self = shared_from_this(),
-                       full_read](const durable::store_reply& reply)
-    {
-        if (self->stopped_)
-            return;
-        if (reply.end == durable::store_outcome::history_truncated)
-            return self->poll_registry(true);
-        const bool again = full_read && !reply.ok();
-        const bool full_read_next = again || !self->loaded_;
-        if (reply.ok())
+    using scan = table_scan<platform::store_client>;
+    const auto self = shared_from_this();
+    const auto all = std::make_shared<std::vector<durable::row>>();
+    std::make_shared<scan>(
+        env_.io, env_.store, platform::worker_table, "",
+        scan::events{[self]
+                     {
+                         return self->stopped_;
+                     },
+                     [all](const std::vector<durable::row>& rows)
+                     {
+                         all->insert(all->end(), rows.begin(), rows.end());
+                     },
+                     [self, all](std::int64_t version)
+                     {
+                         self->registry_read(std::move(*all), version);
+                     }})
+        ->start();
+}
+
+void cell_leader::registry_read(std::vector<durable::row> rows,
+                                std::int64_t version)
+{
+    registry_version_ = version;
+    // Worker reports can be evaluated only once the stored jobs are loaded.
+    if (!loaded_)
+        pending_registry_ = std::move(rows);
+    else
+        apply_registry(rows, true);
+    follow_registry_later();
+}
+
+void cell_leader::follow_registry_later()
+{
+    registry_timer_.expires_after(registry_interval);
+    registry_timer_.async_wait(
+        [self = shared_from_this()](boost::system::error_code ec)
         {
-            self->registry_version_ =
-                std::max(self->registry_version_, reply.version);
-            // Worker reports can be evaluated only once the stored jobs are
-            // loaded.
-            if (!self->loaded_)
-                self->pending_registry_ = reply.rows;
-            else
-                self->apply_registry(reply.rows, full_read);
-        }
-        self->registry_timer_.expires_after(again ? read_retry
-                                                  : registry_interval);
-        self->registry_timer_.async_wait(
-            [self, full_read_next](boost::system::error_code ec)
+            if (!ec)
+                self->follow_registry();
+        });
+}
+
+void cell_leader::follow_registry()
+{
+    if (stopped_)
+        return;
+    if (!loaded_)
+        return read_registry();
+    env_.store.changes(
+        platform::worker_table, registry_version_, milliseconds(0),
+        read_timeout,
+        [self = shared_from_this()](const durable::store_reply& reply)
+        {
+            if (self->stopped_)
+                return;
+            if (reply.end == durable::store_outcome::history_truncated)
+                return self->read_registry();
+            if (reply.ok())
             {
-                if (!ec)
-                    self->poll_registry(full_read_next);
-            });
-    };
-    if (full_read)
-        env_.store.read(platform::worker_table, "", "", page_rows, read_timeout,
-                        done);
-    else
-        env_.store.changes(platform::worker_table, registry_version_,
-                           milliseconds(0), read_timeout, done);
+                self->registry_version_ =
+                    std::max(self->registry_version_, reply.version);
+                self->apply_registry(reply.rows, false);
+            }
+            self->follow_registry_later();
+        });
 }
 
 void cell_leader::apply_registry(const std::vector<durable::row>& rows,
