Keep the process when the handler of one message fails

Cause: an exception from the handler of a caller's request or of a peer's message left the event loop, and the daemon ended. Change: such an error is logged with its reason; a request gets status 500, which leaves open whether it took effect, and a peer's connection is closed. Tests, red before: handler_errors.cost_only_their_request and cost_only_their_peer_connection; peer_frames.arrive_whole_and_in_order covers the buffered reading of frames.

--- a/src/mustardwick/aio/framed_stream.hpp
+++ b/src/mustardwick/aio/framed_stream.hpp
@@ -106,12 +106,32 @@
             const auto handler = on_frame_;
             if (!handler)
                 return false;
-            handler(std::move(*frame));
+            if (!run_handler(handler, std::move(*frame)))
+                return false;
         }
         received_.erase(0, at);
         return true;
     }
 
+    /// An unexpected error costs the connection of the peer whose message
+    /// caused it, not the process.
+    bool run_handler(const frame_handler& handler, wire::frame frame)
+    {
+        const auto type = int(frame.type);
+        try
+        {
+            handler(std::move(frame));
+            return true;
+        }
+        catch (const std::exception& ex)
+        {
+            base::log_event(base::log_level::error, "peers", "handler_failed",
+                            {{"type", type}, {"reason", ex.what()}});
+        }
+        close_with(boost::asio::error::invalid_argument);
+        return false;
+    }
+
     bool reject_frame()
     {
         base::log_event(base::log_level::warning, "peers", "frame_refused",
--- a/src/mustardwick/aio/http_listener.cpp
+++ b/src/mustardwick/aio/http_listener.cpp
@@ -186,11 +186,30 @@
         out.body = std::move(message.body());
         out.received = steady::now();
         ++owner_->open_requests;
-        owner_->handle(std::move(out),
-                       [self = shared_from_this()](outgoing_response reply)
-                       {
-                           self->answer(std::move(reply));
-                       });
+        handle(std::move(out));
+    }
+
+    /// An unexpected error costs the request that caused it, not the process.
+    /// The status leaves open whether the request took effect.
+    void handle(incoming_request request)
+    {
+        const auto target = request.target;
+        try
+        {
+            owner_->handle(std::move(request),
+                           [self = shared_from_this()](outgoing_response reply)
+                           {
+                               self->answer(std::move(reply));
+                           });
+        }
+        catch (const std::exception& ex)
+        {
+            base::log_event(base::log_level::error, "listener",
+                            "handler_failed",
+                            {{"target", target}, {"reason", ex.what()}});
+            keep_alive_ = false;
+            answer({500, "{}", "application/json", {}});
+        }
     }
 
     void answer(outgoing_response reply)
