End a leader's authority with a suspension of its host

Cause: a leader measures the age of its last confirmation on the steady clock, which stands still while the host is suspended. After ten seconds of suspension a confirmation looked milliseconds old, and orders and renewals were sent on it while a successor counted the workers' leases down. Change: leader_authority compares the boot clock with the steady clock at each check, which stands next to the send, and accepts only confirmations requested after the last suspension. Lists of members are no longer copied at each round.

--- a/include/mustardwick/entry/advice_pool.hpp
+++ b/include/mustardwick/entry/advice_pool.hpp
@@ -28,7 +28,7 @@
         std::function<void(const dispatch::advice_query&,
                            std::optional<std::vector<dispatch::advice_ticket>>,
                            base::steady_time sent)>;
-    using member_list = std::function<std::vector<member_record>()>;
+    using member_list = std::function<std::vector<const member_record*>()>;
 
     advice_pool(const base::clock& time, aio::peer_hub& peers,
                 platform::advice_client& local, base::metrics& metrics,
--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -13,6 +13,7 @@
 #include "mustardwick/entry/advice_pool.hpp"
 #include "mustardwick/entry/config_watch.hpp"
 #include "mustardwick/entry/job_rows.hpp"
+#include "mustardwick/entry/leader_authority.hpp"
 #include "mustardwick/entry/member_heartbeats.hpp"
 #include "mustardwick/entry/settings.hpp"
 #include "mustardwick/entry/state_log.hpp"
@@ -30,6 +31,7 @@
     {
         boost::asio::io_context& io;
         const base::clock& clock;
+        const base::suspend_clock& suspensions;
         const settings& options;
         platform::store_client& store;
         aio::peer_hub& peers;
@@ -89,7 +91,7 @@
     void report_status();
     void step_down(std::string_view reason,
                    std::optional<member_record> successor);
-    bool has_authority() const;
+    bool has_authority();
     /// Returns how long rejected callers should wait before they retry;
     /// std::nullopt while the store is considered available.
     std::optional<std::chrono::milliseconds> store_retry_after() const;
@@ -101,6 +103,7 @@
     std::shared_ptr<member_heartbeats> heartbeats_;
     std::shared_ptr<advice_pool> advice_;
     std::shared_ptr<worker_links> workers_;
+    leader_authority authority_;
     dispatch::planner planner_;
     boost::asio::steady_timer work_timer_;
     boost::asio::steady_timer registry_timer_;
--- a/include/mustardwick/entry/member_heartbeats.hpp
+++ b/include/mustardwick/entry/member_heartbeats.hpp
@@ -66,8 +66,8 @@
                               double above_capacity = 0) const;
 
     /// @brief Returns the members that replied recently and are not shutting
-    /// down.
-    std::vector<member_record> reachable() const;
+    /// down; valid until a member is added.
+    std::vector<const member_record*> reachable() const;
 
 private:
     void tick();
--- a/src/mustardwick/entry/advice_pool.cpp
+++ b/src/mustardwick/entry/advice_pool.cpp
@@ -50,8 +50,8 @@
         return out;
     const auto members = members_();
     out.free = is_free(own_channel) ? 1 : 0;
-    for (const auto& it : members)
-        out.free += is_free(it.name) ? 1 : 0;
+    for (const auto* it : members)
+        out.free += is_free(it->name) ? 1 : 0;
     const auto max_long = std::max<std::size_t>(
         1, std::size_t(double(members.size() + 1) * long_query_share));
     if (max_long > open_long_queries_)
@@ -72,12 +72,12 @@
     };
     open_long_queries_ += is_long ? 1 : 0;
     const auto members = members_();
-    const auto member = std::find_if(members.begin(), members.end(),
-                                     [&](const auto& it)
-                                     {
-                                         return is_free(it.name);
-                                     });
-    if (member == members.end())
+    const auto found = std::find_if(members.begin(), members.end(),
+                                    [&](const auto* it)
+                                    {
+                                        return is_free(it->name);
+                                    });
+    if (found == members.end())
     {
         ++channels_[own_channel].open_queries;
         return local_.send_query(query, timeout,
@@ -86,6 +86,7 @@
                                      finish(own_channel, std::move(allowed));
                                  });
     }
+    const auto* member = *found;
     ++channels_[member->name].open_queries;
     const advice_request request{query.job, query.occurrence, query.step,
                                  query.workers, timeout.count()};
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -67,6 +67,8 @@
     : env_(env), head_(std::move(head)), on_leadership_lost_(std::move(lost)),
       log_(std::make_shared<state_log>(env.io, env.clock, env.store,
                                        env.metrics, head_, head_version)),
+      authority_(env.clock, env.suspensions,
+                 dispatch::planner_options().former_leader_authority),
       planner_(env.clock, planner_options_of(env.options), env.metrics),
       work_timer_(env.io), registry_timer_(env.io), leadership_timer_(env.io),
       started_(env.clock.now())
@@ -161,15 +163,14 @@
         heartbeats_->add(record);
 }
 
-bool cell_leader::has_authority() const
+bool cell_leader::has_authority()
 {
     if (stopped_)
         return false;
     auto confirmed = log_->confirmed();
     if (const auto members_confirmed = heartbeats_->confirmed())
         confirmed = std::max(confirmed, *members_confirmed);
-    const dispatch::planner_options options;
-    return env_.clock.now() - confirmed < options.former_leader_authority;
+    return authority_.is_valid(confirmed);
 }
 
 void cell_leader::schedule_work()
--- a/src/mustardwick/entry/entry_node.cpp
+++ b/src/mustardwick/entry/entry_node.cpp
@@ -199,8 +199,8 @@
 {
     update_leader(head.epoch, head.leader, options.peers);
     leader = std::make_shared<cell_leader>(
-        cell_leader::environment{io, clock, options, store, *peers, advice,
-                                 metrics},
+        cell_leader::environment{io, clock, suspensions, options, store, *peers,
+                                 advice, metrics},
         std::move(head), version,
         [this](std::optional<member_record> successor)
         {
--- a/src/mustardwick/entry/entry_node_impl.hpp
+++ b/src/mustardwick/entry/entry_node_impl.hpp
@@ -65,6 +65,7 @@
 
     asio::io_context io{1};
     base::system_clock clock;
+    base::system_suspend_clock suspensions;
     base::metrics metrics;
     settings options;
     platform::store_client store;
--- a/src/mustardwick/entry/member_heartbeats.cpp
+++ b/src/mustardwick/entry/member_heartbeats.cpp
@@ -191,12 +191,12 @@
     return out;
 }
 
-std::vector<member_record> member_heartbeats::reachable() const
+std::vector<const member_record*> member_heartbeats::reachable() const
 {
-    std::vector<member_record> out;
+    std::vector<const member_record*> out;
     for (const auto& [name, it] : members_)
         if (is_recent(it) && !it.leaving)
-            out.push_back(it.record);
+            out.push_back(&it.record);
     return out;
 }
 
