--- a/src/mustardwick/dispatch/load_replay_test.cpp
+++ b/src/mustardwick/dispatch/load_replay_test.cpp
@@ -139,8 +139,8 @@
 }
 
 // Guards against placement rounds whose length is the product of the backlog
-// and the number of hosts. Rounds took 30 ms on the leader of 540 hosts, which
-// limited them to seven a second, and half of the urgent jobs waited 155 ms.
+// and the number of hosts. Rounds took 7 to 27 ms on the leader of 540 hosts,
+// and since they may take a fifth of the time, urgent jobs became late.
 Test(load_replay, examines_few_hosts_for_a_backlog)
 {
     constexpr int hosts = 540;
