Start idle-CPU work on hosts whose reservations exceed what is free

Cause: the early exit for hosts without free processors, added with the short placement rounds, also held for tasks that need no processors. Change: it applies only to tasks that need some. Test, red before: placement.starts_idle_cpu_work_on_reserved_hosts.

--- a/src/mustardwick/dispatch/placement_test.cpp
+++ b/src/mustardwick/dispatch/placement_test.cpp
@@ -97,6 +97,22 @@
     cr_assert_eq(starts[1].task.job, "wide");
 }
 
+// Guards against tasks that use idle CPU time and wait for processors: these
+// are reserved on every host, beyond what is free.
+Test(placement, starts_idle_cpu_work_on_reserved_hosts)
+{
+    full_cell cell;
+    cell.submit(make_job("wide", "asked", {make_step(2, 20, true)}, "many"));
+    const auto queries = cell.round(1).queries;
+    cr_assert_eq(queries.size(), 1);
+    cell.plan.advice_answered(queries[0], allow_all(queries[0]),
+                              cell.clock.now());
+    auto idle_cpu = make_step(2, 4);
+    idle_cpu.uses_idle_cpu = true;
+    cell.submit(make_job("batch", "plain", {idle_cpu}, "many"));
+    cr_assert_eq(cell.round().starts.size(), 2);
+}
+
 // Guards against spreading small tasks over the emptiest hosts, which leaves no
 // host with capacity for a large one.
 Test(placement, packs_small_tasks_onto_used_hosts)
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -332,11 +332,11 @@
 
 int planner::slots_on(const host_state& host, const ready_step& step) const
 {
-    // Most hosts of a full cell have too little of a single resource.
-    const auto size = charged_size(step.spec());
-    if (host.info.capacity.millicpus - host.used.millicpus -
-            host.reserved.millicpus <
-        size.millicpus)
+    // Most hosts of a full cell have too few processors.
+    const auto millicpus = charged_size(step.spec()).millicpus;
+    if (millicpus > 0 && host.info.capacity.millicpus - host.used.millicpus -
+                                 host.reserved.millicpus <
+                             millicpus)
         return 0;
     const int n = step.fit_in(unreserved_capacity(host, step));
     return n == 0 ? 0 : std::min(n, max_tasks_on(host, step));
