Answer every request before a planned stop ends the process

Callers saw: a request on a kept connection, sent about 2 s after SIGTERM, ended with a closed connection and no answer. Cause: a daemon exits 4.8 s after the signal, with open requests or not. It closes idle connections only at 2.3 s, and a request that arrives before that may wait for the leader until its own deadline, at 4.95 s.

--- a/src/mustardwick/entry/entry_node.cpp
+++ b/src/mustardwick/entry/entry_node.cpp
@@ -27,6 +27,8 @@
 /// Part of the grace period reserved for closing connections.
 constexpr milliseconds shutdown_reserve{1200};
 constexpr milliseconds shutdown_poll{50};
+/// Time before the exit by which every open request is answered.
+constexpr milliseconds last_answer_margin{250};
 constexpr std::size_t secret_bytes = 32;
 constexpr int ok = 200;
 constexpr int not_found = 404;
@@ -262,6 +264,7 @@
         leader->release();
     const auto now = clock.now();
     const auto latest = now + options.limits.grace - shutdown_reserve;
+    last_answer = latest - last_answer_margin;
     poll_shutdown(std::min(now + balancer_delay, latest), latest);
 }
 
--- a/src/mustardwick/entry/entry_node_impl.hpp
+++ b/src/mustardwick/entry/entry_node_impl.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <csignal>
+#include <optional>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -62,6 +63,9 @@
                      const std::function<void(leader_result)>& done);
     void configuration_changed(const operator_state& state);
     bool is_ready() const;
+    /// @brief Returns when a request with the given deadline has to be answered
+    /// at the latest; a shutdown leaves less time than its caller allows.
+    base::steady_time answer_time(base::steady_time deadline) const;
 
     asio::io_context io{1};
     base::system_clock clock;
@@ -89,6 +93,8 @@
     bool probing_store = false;
     store_reachability store_answers;
     bool leaving = false;
+    /// Open requests are answered by this time; set by a shutdown.
+    std::optional<base::steady_time> last_answer;
 };
 
 } // namespace mustardwick::entry
--- a/src/mustardwick/entry/entry_node_peers.cpp
+++ b/src/mustardwick/entry/entry_node_peers.cpp
@@ -1,5 +1,6 @@
 #include "entry_node_impl.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "mustardwick/wire/codec.hpp"
@@ -128,6 +129,12 @@
                       });
 }
 
+base::steady_time
+entry_node::impl::answer_time(base::steady_time deadline) const
+{
+    return last_answer ? std::min(deadline, *last_answer) : deadline;
+}
+
 void entry_node::impl::call_leader(
     message_type type, const std::string& payload, base::steady_time deadline,
     bool maybe_sent, const std::function<void(leader_result)>& done)
@@ -139,7 +146,7 @@
     {
         availability.call_failed(clock.now());
         const auto next = clock.now() + leader_retry;
-        if (next >= deadline)
+        if (next >= answer_time(deadline))
             return done({std::nullopt, sent});
         auto timer = std::make_shared<asio::steady_timer>(io, leader_retry);
         timer->async_wait(
@@ -149,8 +156,8 @@
                 call_leader(type, payload, deadline, sent, done);
             });
     };
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(deadline - clock.now());
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        answer_time(deadline) - clock.now());
     if (left.count() <= 0)
         return done({std::nullopt, maybe_sent});
     if (leader)
