Answer the open calls of a leader that steps down

Callers saw: submissions and cancellations that were open at a leader when it stepped down waited 1.5 s for a timeout, although the next leader could answer at once; over several planned restarts in a row that adds up to a deadline. Cause: step_down() dropped the responders, and the gateways learned nothing.

--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -15,6 +15,7 @@
 #include "mustardwick/entry/job_rows.hpp"
 #include "mustardwick/entry/leader_authority.hpp"
 #include "mustardwick/entry/member_heartbeats.hpp"
+#include "mustardwick/entry/open_calls.hpp"
 #include "mustardwick/entry/settings.hpp"
 #include "mustardwick/entry/state_log.hpp"
 #include "mustardwick/entry/worker_links.hpp"
@@ -59,7 +60,8 @@
     /// @brief Handles a message about jobs; returns false, without a response,
     /// when this leader cannot answer it: the state is not loaded yet,
     /// leadership is being released, authority has expired, or the payload is
-    /// malformed.
+    /// malformed. The response is empty when leadership ends before the outcome
+    /// is known.
     bool handle(wire::message_type type, const std::string& payload,
                 const aio::peer_responder& respond);
 
@@ -92,6 +94,7 @@
     void step_down(std::string_view reason,
                    std::optional<member_record> successor);
     bool has_authority();
+    bool submit(const std::string& payload, const aio::peer_responder& respond);
     /// Returns how long rejected callers should wait before they retry;
     /// std::nullopt while the store is considered available.
     std::optional<std::chrono::milliseconds> store_retry_after() const;
@@ -104,6 +107,7 @@
     std::shared_ptr<advice_pool> advice_;
     std::shared_ptr<worker_links> workers_;
     leader_authority authority_;
+    open_calls calls_;
     dispatch::planner planner_;
     boost::asio::steady_timer work_timer_;
     boost::asio::steady_timer registry_timer_;
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -325,11 +325,13 @@
 {
     if (stopped_)
         return;
+    stop();
+    const auto abandoned = calls_.abandon();
     log_event(log_level::warning, "leader", "leadership_lost",
               {{"epoch", head_.epoch},
                {"reason", reason},
-               {"successor", successor ? successor->name : "-"}});
-    stop();
+               {"successor", successor ? successor->name : "-"},
+               {"abandoned_calls", abandoned}});
     on_leadership_lost_(std::move(successor));
 }
 
--- a/src/mustardwick/entry/cell_leader_calls.cpp
+++ b/src/mustardwick/entry/cell_leader_calls.cpp
@@ -44,6 +44,36 @@
     return std::clamp(outage_time, min_retry_after, max_retry_after);
 }
 
+bool cell_leader::submit(const std::string& payload,
+                         const aio::peer_responder& respond)
+{
+    auto job = wire::decode<jobs::job>(payload);
+    if (!job)
+        return false;
+    const auto tracked = calls_.track(respond);
+    const auto refuse = [self = shared_from_this(), tracked]
+    {
+        job_reply out{reply_status::store_unavailable};
+        out.retry_after_ms =
+            self->store_retry_after().value_or(min_retry_after).count();
+        tracked(answer(out));
+    };
+    if (store_retry_after() && !planner_.state_of(job->id))
+    {
+        refuse();
+        return true;
+    }
+    planner_.submit(
+        std::move(*job),
+        [tracked]
+        {
+            tracked(answer({reply_status::done}));
+        },
+        refuse);
+    schedule_work();
+    return true;
+}
+
 bool cell_leader::handle(wire::message_type type, const std::string& payload,
                          const aio::peer_responder& respond)
 {
@@ -51,32 +81,7 @@
     if (!loaded_ || releasing_ || !has_authority())
         return false;
     if (type == message_type::submit_job)
-    {
-        auto job = wire::decode<jobs::job>(payload);
-        if (!job)
-            return false;
-        const auto refuse = [self = shared_from_this(), respond]
-        {
-            job_reply out{reply_status::store_unavailable};
-            out.retry_after_ms =
-                self->store_retry_after().value_or(min_retry_after).count();
-            respond(answer(out));
-        };
-        if (store_retry_after() && !planner_.state_of(job->id))
-        {
-            refuse();
-            return true;
-        }
-        planner_.submit(
-            std::move(*job),
-            [respond]
-            {
-                respond(answer({reply_status::done}));
-            },
-            refuse);
-        schedule_work();
-        return true;
-    }
+        return submit(payload, respond);
     if (type == message_type::count_waiting)
     {
         const auto query = wire::decode<queue_query>(payload);
@@ -94,7 +99,7 @@
     {
         planner_.cancel(
             query->id,
-            [respond](dispatch::cancel_result result)
+            [respond = calls_.track(respond)](dispatch::cancel_result result)
             {
                 const bool known = result == dispatch::cancel_result::cancelled;
                 respond(answer(
--- a/src/mustardwick/entry/entry_node_peers.cpp
+++ b/src/mustardwick/entry/entry_node_peers.cpp
@@ -162,18 +162,20 @@
         return done({std::nullopt, maybe_sent});
     if (leader)
     {
-        // A leader that loses leadership does not respond.
         auto timer = std::make_shared<asio::steady_timer>(
             io, std::min(left, leader_call_timeout));
         const auto open = std::make_shared<bool>(true);
         const auto respond =
-            [this, done, timer, open](const std::string& answer)
+            [this, done, again, timer, open](const std::string& answer)
         {
             if (!std::exchange(*open, false))
                 return;
             timer->cancel();
+            const auto reply = wire::decode<job_reply>(answer);
+            if (!reply)
+                return again(true);
             availability.call_succeeded();
-            done({wire::decode<job_reply>(answer), true});
+            done({reply, true});
         };
         if (!leader->handle(type, payload, respond))
             return again(maybe_sent);
