Release leadership behind a transaction that is in flight

Callers saw: after a planned stop of the leader under load, requests waited for the election instead of one transaction, and what the leader had not committed yet was dropped. Cause: release() waits for the open transaction, and its completion was taken for the release: the leader stepped down with an unreleased head row and offered its successor no version of it. Change: the completion of any other transaction sends the releasing one, which also carries the remaining changes.

--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -230,6 +230,10 @@
         return step_down("another daemon holds leadership", {});
     if (planner_.commit_in_flight())
         planner_.commit_done();
+    // The transaction that was in flight when the release began does not
+    // release leadership.
+    if (releasing_ && !released_)
+        return pump_commits();
     if (releasing_)
     {
         auto successor = successor_;
--- a/testing/soak/shutdown_test.py
+++ b/testing/soak/shutdown_test.py
@@ -3,6 +3,7 @@
 
 import argparse
 import asyncio
+import base64
 import json
 import pathlib
 import signal
@@ -92,7 +93,28 @@
     return failures
 
 
-TESTS = [answers_every_request_that_was_read]
+async def releases_leadership_behind_an_open_transaction(program, folder):
+    """Guards against a leader that exits without releasing leadership because
+    a transaction was open when it was stopped: the requests of that moment
+    wait until its leadership has timed out."""
+    cell = Cell(program, folder, 93)
+    await cell.start()
+    await cell.wait_until_serving()
+    # A transaction now takes 0.3 s, longer than the interval of renewals, so
+    # that one is always open.
+    cell.store.faults[cell.daemon.store] = "slow"
+    await asyncio.sleep(1.0)
+    cell.daemon.signal(signal.SIGTERM)
+    await asyncio.wait_for(cell.daemon.process.wait(), GRACE_S)
+    head = cell.store.rows["cell", "plan", "head"]["value"]
+    # The row ends with the flag that marks leadership as released.
+    released = base64.b64decode(head)[-1] == 1
+    print(f"leadership released: {released}", flush=True)
+    return [] if released else ["leadership was not released"]
+
+
+TESTS = [answers_every_request_that_was_read,
+         releases_leadership_behind_an_open_transaction]
 
 
 def main():
