Keep the runs of a worker whose connections are refused or reset

Cause: since two refused connections in a row counted as proof that the worker's process had ended, and its confirmed runs were started elsewhere. A device on the path rejects connections the same way while the worker runs on. Change: a refused connection is worth as much as silence. Only the worker's report, of an end or of another incarnation, and the end of its lease on its own clock end a run. planner::worker_ended and the flag of http_result go.

--- a/include/mustardwick/aio/http_channel.hpp
+++ b/include/mustardwick/aio/http_channel.hpp
@@ -44,8 +44,6 @@
     int status = 0;
     std::string body;
     std::string reason;
-    /// The peer's host answered that no process listens on the port.
-    bool connection_refused = false;
 
     bool answered() const
     {
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -94,12 +94,6 @@
     void worker_reported(const std::string& id, const jobs::worker_report& it);
     /// @brief Records that a worker did not answer a lease renewal.
     void worker_unresponsive(const std::string& id);
-    /// @brief Records that the process of a worker has ended, so that none of
-    /// its runs is in progress any more.
-    ///
-    /// Unanswered orders are kept until they expire: they may still reach the
-    /// next incarnation.
-    void worker_ended(const std::string& id);
     void start_answered(const start_order& order,
                         const jobs::order_reply& reply);
     void stop_answered(const stop_order& order, const jobs::order_reply& reply);
--- a/include/mustardwick/entry/worker_links.hpp
+++ b/include/mustardwick/entry/worker_links.hpp
@@ -47,8 +47,6 @@
         std::unique_ptr<boost::asio::steady_timer> timer;
         bool listed = false;
         int failures = 0;
-        /// Renewals in a row for which the connection was refused.
-        int refusals = 0;
         /// How often the next renewal has been postponed.
         int deferrals = 0;
         std::uint64_t generation = 0;
--- a/src/mustardwick/aio/http_channel.cpp
+++ b/src/mustardwick/aio/http_channel.cpp
@@ -155,12 +155,7 @@
         if (timed_out)
             owner->drop_idle();
         owner->released(shared_from_this(), false);
-        call.done({end,
-                   0,
-                   {},
-                   ec.message(),
-                   end == transport_outcome::not_sent &&
-                       ec == asio::error::connection_refused});
+        call.done({end, 0, {}, ec.message()});
     }
 
     void finish_answered()
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -58,24 +58,6 @@
               {{"worker", id}, {"runs", it->second.runs.size()}});
 }
 
-void planner::worker_ended(const std::string& id)
-{
-    const auto found = hosts_.find(id);
-    if (found == hosts_.end())
-        return;
-    auto& host = found->second;
-    std::vector<run_key> ended;
-    for (const auto& [key, it] : host.runs)
-        if (it.confirmed)
-            ended.push_back(key);
-    log_event(log_level::warning, "planner", "worker_ended",
-              {{"worker", id},
-               {"runs", host.runs.size()},
-               {"confirmed_runs", ended.size()}});
-    for (const auto& key : ended)
-        run_lost(host, key, "the worker has ended");
-}
-
 void planner::worker_reported(const std::string& id,
                               const jobs::worker_report& report)
 {
--- a/src/mustardwick/entry/worker_links.cpp
+++ b/src/mustardwick/entry/worker_links.cpp
@@ -23,10 +23,6 @@
 constexpr int max_deferrals = 4;
 constexpr milliseconds min_retry_delay{250};
 constexpr int max_retry_doublings = 2;
-/// A worker is considered ended after this many refused connections in a row:
-/// one refusal may come from a listener that is being replaced.
-constexpr int refusals_before_ended = 2;
-constexpr milliseconds refused_retry_delay{100};
 /// Delay while this daemon has no authority to act as leader.
 constexpr milliseconds no_authority_delay{100};
 
@@ -135,7 +131,6 @@
     if (reply.report)
     {
         it.failures = 0;
-        it.refusals = 0;
         const auto host = planner_.hosts().find(id);
         const bool first =
             host == planner_.hosts().end() || !host->second.adopted;
@@ -144,10 +139,9 @@
         // A worker's first report is followed by a renewal without delay.
         return renew_after(it, first ? milliseconds(0) : renewal_delay);
     }
+    // A refused or reset connection says as little about the worker's runs as
+    // silence does: a device on the path can reject it while they go on.
     planner_.worker_unresponsive(id);
-    it.refusals = reply.connection_refused ? it.refusals + 1 : 0;
-    if (it.refusals == refusals_before_ended)
-        planner_.worker_ended(id);
     on_.changed();
     const int doublings = std::min(it.failures++, max_retry_doublings);
     if (!it.listed && it.failures > max_retry_doublings)
@@ -158,10 +152,7 @@
         links_.erase(found);
         return;
     }
-    const bool confirms_end =
-        reply.connection_refused && it.refusals < refusals_before_ended;
-    renew_after(it, confirms_end ? refused_retry_delay
-                                 : min_retry_delay * (1 << doublings));
+    renew_after(it, min_retry_delay * (1 << doublings));
 }
 
 void worker_links::deliver(const dispatch::orders& orders)
