Attribute failed runs to hosts or to the jobs that failed

Cause: each failed run counted against its host. Jobs that fail wherever they run (poisoned jobs) had all hosts quarantined for 2 to 16 s, one failure at a time, and put on probation until a run succeeded there; after the end of the traffic none did. Change: policy/failure_attribution counts a failure against a host only until the same task fails on a second host or its job ends as failed, and at most a third of a service's hosts is quarantined or on probation at a time, the most suspect ones. Members of a gang step count as one. The status line has listed_hosts, unreachable_hosts and suspect_hosts, which tell quarantines from silent workers.

--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -93,8 +93,6 @@
     /// Capacity reserved for more urgent steps in this placement round; it may
     /// exceed what is free now.
     policy::resources reserved;
-    /// Consecutive failed runs; reset when a run succeeds.
-    int consecutive_failures = 0;
     /// Job whose gang step has an advice query about this host; until
     /// held_until, other jobs prefer other hosts.
     std::string held_for;
@@ -104,9 +102,13 @@
     policy::resources preempted_capacity;
     std::string preempted_for;
     base::steady_time preempted_until;
-    /// No run is assigned here before this time, after a quarantine or a
-    /// refused order.
+    /// No run is assigned here before this time, after a refused order.
     base::steady_time avoid_until;
+    /// No run is assigned here before this time, after failed runs.
+    base::steady_time quarantined_until;
+    /// Failed runs do not exclude the host, because too many others are
+    /// excluded.
+    bool exempt_from_quarantine = false;
 
     policy::resources free() const
     {
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -16,6 +16,7 @@
 #include "mustardwick/dispatch/job_run.hpp"
 #include "mustardwick/dispatch/orders.hpp"
 #include "mustardwick/jobs/configuration.hpp"
+#include "mustardwick/policy/failure_attribution.hpp"
 #include "mustardwick/policy/urgency.hpp"
 
 namespace mustardwick::dispatch
@@ -63,6 +64,11 @@
     std::size_t hosts_examined = 0;
     std::chrono::microseconds duration{0};
     std::size_t usable_hosts = 0;
+    std::size_t listed_hosts = 0;
+    /// Listed hosts that do not answer lease renewals.
+    std::size_t unreachable_hosts = 0;
+    /// Listed hosts that are excluded or restricted because of failed runs.
+    std::size_t suspect_hosts = 0;
     std::int64_t free_millicpus = 0;
 };
 
@@ -232,9 +238,19 @@
     void run_lost(host_state& host, const run_key& key,
                   std::string_view reason);
     void apply_end(host_state& host, const jobs::ended_run& end);
+    /// @brief Returns the task that a failure is attributed to: the members of
+    /// a gang step fail as one.
+    static jobs::task_key failure_subject(const job_run& job,
+                                          const jobs::task_key& task);
     /// @brief Counts a failed run against its host, which is quarantined after
-    /// several in a row.
-    void record_host_failure(host_state& host);
+    /// several that no job explains.
+    void record_host_failure(host_state& host, const jobs::task_key& task,
+                             int run);
+    /// @brief Returns whether failed runs suggest that a host is faulty.
+    bool is_suspect(const host_state& host) const;
+    /// @brief Exempts the least suspect hosts of each service when more than a
+    /// share of its hosts is suspect.
+    void limit_quarantines();
     void task_done(job_run& job, const jobs::task_key& task);
     void task_failed(job_run& job, const jobs::task_key& task, int run);
     void stop_run(host_state& host, running& it);
@@ -312,6 +328,7 @@
     std::map<std::string, host_state, std::less<>> hosts_;
     /// Hosts by index; null once a host is removed.
     std::vector<host_state*> host_at_;
+    policy::failure_attribution<std::size_t, jobs::task_key> failures_;
     std::map<std::string, account_usage, std::less<>> accounts_;
     std::map<std::string, policy::allowed_share, std::less<>> allowed_share_;
     std::deque<std::string> dirty_;
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -270,6 +270,7 @@
             stop_step_runs(job, open.number, int(step));
     job.record.open.clear();
     job.steps.clear();
+    failures_.job_ended(job.specification.id, state == jobs::job_state::failed);
     mark_dirty(job);
     placement_due_ = true;
     if (state == jobs::job_state::cancelled)
@@ -447,7 +448,10 @@
                       const bool removed = !host.listed && host.runs.empty() &&
                                            host.lease_bound < now;
                       if (removed)
+                      {
                           host_at_[host.index] = nullptr;
+                          failures_.forget(host.index);
+                      }
                       return removed;
                   });
 }
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -15,8 +15,6 @@
 using base::log_level;
 using std::chrono::milliseconds;
 
-/// Consecutive failures after which a host is on probation.
-constexpr int failures_before_probation = 2;
 /// Run time that is assumed for steps without an estimate.
 constexpr std::int64_t default_estimate_ms = 1000;
 /// A late completion still has value up to this many times the objective.
@@ -94,6 +92,7 @@
     return host.listed && host.adopted && host.reachable && same_incarnation &&
            !host.info.draining && host.info.service == service &&
            host.avoid_until <= clock_.now() &&
+           !(is_suspect(host) && clock_.now() < host.quarantined_until) &&
            !evacuated_.contains(host.info.failure_domain);
 }
 
@@ -219,12 +218,18 @@
     round_planned_millicpus_ = 0;
     round_preemption_searches_ = 0;
     round_ = {};
+    limit_quarantines();
     for (auto& [id, host] : hosts_)
     {
         auto& processors = round_processors_[host.info.service];
         processors.used += host.used.millicpus;
         if (host.listed)
+        {
             processors.listed += host.info.capacity.millicpus;
+            ++round_.listed_hosts;
+            round_.unreachable_hosts += host.reachable ? 0 : 1;
+            round_.suspect_hosts += is_suspect(host) ? 1 : 0;
+        }
         if (!is_usable(host, host.info.service))
             continue;
         host.reserved = {};
@@ -299,7 +304,7 @@
         return 0;
     // A host on probation gets one task at a time until one succeeds.
     int n = step.waiting;
-    if (host.consecutive_failures >= failures_before_probation)
+    if (is_suspect(host))
         n = host.runs.empty() ? 1 : 0;
     // Tasks that use idle CPU time can slow a latency-sensitive neighbour past
     // its target; they are not placed on its host.
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -15,7 +15,8 @@
 using base::log_level;
 using std::chrono::milliseconds;
 
-/// Consecutive failures after which a host is quarantined.
+/// Unexplained failures after which a host is quarantined, and restricted to
+/// one task at a time until one succeeds.
 constexpr int failures_before_quarantine = 2;
 constexpr milliseconds first_quarantine{2000};
 constexpr int max_quarantine_doublings = 3;
@@ -224,17 +225,70 @@
         finish_job(job, jobs::job_state::failed);
 }
 
-void planner::record_host_failure(host_state& host)
+bool planner::is_suspect(const host_state& host) const
 {
-    if (++host.consecutive_failures < failures_before_quarantine)
+    return !host.exempt_from_quarantine &&
+           failures_.unexplained_failures(host.index) >=
+               failures_before_quarantine;
+}
+
+jobs::task_key planner::failure_subject(const job_run& job,
+                                        const jobs::task_key& task)
+{
+    auto out = task;
+    const auto step = std::size_t(task.step);
+    if (step < job.specification.steps.size() &&
+        job.specification.steps[step].is_gang)
+        out.index = 0;
+    return out;
+}
+
+void planner::record_host_failure(host_state& host, const jobs::task_key& task,
+                                  int run)
+{
+    failures_.record_failure(host.index, task, run);
+    const int failures = failures_.unexplained_failures(host.index);
+    if (failures < failures_before_quarantine)
+        return;
+    const int doublings = std::min(failures - failures_before_quarantine,
+                                   max_quarantine_doublings);
+    host.quarantined_until = clock_.now() + first_quarantine * (1 << doublings);
+    log_event(log_level::warning, "planner", "host_quarantined",
+              {{"worker", host.info.id},
+               {"failures", failures},
+               {"task", to_string(task)}});
+}
+
+void planner::limit_quarantines()
+{
+    if (!failures_.has_unexplained_failures())
         return;
-    const int doublings =
-        std::min(host.consecutive_failures - failures_before_quarantine,
-                 max_quarantine_doublings);
-    host.avoid_until = clock_.now() + first_quarantine * (1 << doublings);
-    log_event(
-        log_level::warning, "planner", "host_quarantined",
-        {{"worker", host.info.id}, {"failures", host.consecutive_failures}});
+    std::map<std::string_view, std::size_t> listed;
+    std::map<std::string_view, std::vector<host_state*>> suspects;
+    for (auto& [id, host] : hosts_)
+    {
+        host.exempt_from_quarantine = false;
+        if (!host.listed)
+            continue;
+        ++listed[host.info.service];
+        if (is_suspect(host))
+            suspects[host.info.service].push_back(&host);
+    }
+    for (auto& [service, found] : suspects)
+    {
+        const auto max = policy::max_quarantined(listed[service]);
+        if (found.size() <= max)
+            continue;
+        std::stable_sort(
+            found.begin(), found.end(),
+            [this](const auto* left, const auto* right)
+            {
+                return failures_.unexplained_failures(left->index) >
+                       failures_.unexplained_failures(right->index);
+            });
+        for (auto it = max; it < found.size(); ++it)
+            found[it]->exempt_from_quarantine = true;
+    }
 }
 
 void planner::apply_end(host_state& host, const jobs::ended_run& end)
@@ -246,13 +300,13 @@
                           clock_.now() - run->second.started > healthy_run_time;
     remove_run(host, {end.task, end.run});
     const bool failed = end.outcome == jobs::run_outcome::failed;
-    if (failed && !ran_well)
-        record_host_failure(host);
+    auto* job = find_job(end.task.job);
+    if (failed && !ran_well && job != nullptr && !is_final(job->record.state))
+        record_host_failure(host, failure_subject(*job, end.task), end.run);
     if (end.outcome == jobs::run_outcome::done)
-        host.consecutive_failures = 0;
+        failures_.record_success(host.index);
     metrics_.add("mustardwick_runs_ended_" + std::string(name_of(end.outcome)) +
                  "_total");
-    auto* job = find_job(end.task.job);
     const auto* record = find_task(end.task);
     if (end.outcome != jobs::run_outcome::done)
         log_event(log_level::info, "planner", "run_ended",
@@ -311,7 +365,7 @@
     host.uncommitted_ends.clear();
     host.last_applied_end = 0;
     host.clock_ms = 0;
-    host.consecutive_failures = 0;
+    failures_.forget(host.index);
     host.incarnation_start_ms = report.incarnation_start_ms;
 }
 
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -320,7 +320,10 @@
          {"free_channels", advice_->capacity().free},
          {"without_capacity", round.without_capacity},
          {"deferred", round.deferred},
+         {"listed_hosts", round.listed_hosts},
          {"usable_hosts", round.usable_hosts},
+         {"unreachable_hosts", round.unreachable_hosts},
+         {"suspect_hosts", round.suspect_hosts},
          {"free_millicpus", round.free_millicpus}});
 }
 
