Attribute failed tasks of the product's own daemon likewise

The same cause as in the hosted planner: job_tracker counted each failed task against its host, and a job that fails everywhere had hosts quarantined for 5 s up to 300 s. It uses policy/failure_attribution now, with the same bound on the share of hosts that may be quarantined. Test: job_tracker.keeps_hosts_that_ran_only_failing_jobs.

--- a/include/mustardwick/coordination/job_tracker.hpp
+++ b/include/mustardwick/coordination/job_tracker.hpp
@@ -15,6 +15,7 @@
 #include "mustardwick/coordination/records.hpp"
 #include "mustardwick/coordination/resources.hpp"
 #include "mustardwick/policy/cell.hpp"
+#include "mustardwick/policy/failure_attribution.hpp"
 #include "mustardwick/policy/scheduler.hpp"
 #include "mustardwick/ports/table.hpp"
 #include "mustardwick/ports/worker.hpp"
@@ -125,6 +126,8 @@
         /// The table has a row for the task.
         bool persisted = false;
         bool stopping = false;
+        /// Failed attempts that this tracker has seen.
+        int failed_runs = 0;
         /// When the last start or stop order was issued.
         base::steady_time ordered_at;
     };
@@ -145,7 +148,6 @@
         /// The platform is about to remove the host.
         bool leaving = false;
         std::string lease;
-        int consecutive_failures = 0;
         base::steady_time quarantined_until;
         policy::host description;
     };
@@ -165,7 +167,11 @@
     void fail_task(task& target, const std::string& detail);
     void add_attempt(const task& target);
     void remove_attempt(task& target);
-    void record_host_failure(const std::string& host);
+    void record_host_failure(const std::string& host,
+                             const policy::task_id& task, int run);
+    /// @brief Returns whether failed tasks suggest that a host is faulty.
+    bool is_suspect(const std::string& host) const;
+    bool is_quarantined(const std::string& host) const;
     void end_job(job& target, job_state state, const std::string& reason);
     void remove_if_idle(job& target);
     void put_job(const job& target);
@@ -183,6 +189,7 @@
     std::map<std::string, policy::task_id> attempts_;
     host_counts placed_per_host_;
     std::map<std::string, host_status, std::less<>> hosts_;
+    policy::failure_attribution<std::string, policy::task_id> failures_;
     std::deque<std::string> ended_jobs_;
     job_changes changes_;
 };
--- a/src/mustardwick/coordination/job_tracker.cpp
+++ b/src/mustardwick/coordination/job_tracker.cpp
@@ -160,9 +160,8 @@
     auto& status = hosts_[name];
     if (!status.declared)
         return;
-    const bool quarantined = clock_.now() < status.quarantined_until;
     const bool accepts = status.in_service && status.reported_open &&
-                         !status.leaving && !quarantined;
+                         !status.leaving && !is_quarantined(name);
     const auto* known = cell_.find_host(name);
     const bool same =
         known != nullptr && known->accepts_work == accepts &&
--- a/src/mustardwick/coordination/job_tracker_completion.cpp
+++ b/src/mustardwick/coordination/job_tracker_completion.cpp
@@ -12,7 +12,7 @@
 
 /// Failures of one task after which its job fails.
 constexpr int max_task_failures = 3;
-/// Consecutive failures on a host after which it is quarantined.
+/// Unexplained failures on a host after which it is quarantined.
 constexpr int quarantine_failures = 5;
 constexpr base::milliseconds initial_quarantine{5'000};
 constexpr base::milliseconds max_quarantine{300'000};
@@ -66,7 +66,7 @@
 void job_tracker::finish_task(task& target)
 {
     auto& owner = jobs_.find(target.record.id.job)->second;
-    hosts_[target.record.host].consecutive_failures = 0;
+    failures_.record_success(target.record.host);
     cell_.stop(target.record.id, true);
     remove_attempt(target);
     target.record.state = task_state::finished;
@@ -85,15 +85,34 @@
     put_task(target);
 }
 
-void job_tracker::record_host_failure(const std::string& host)
+bool job_tracker::is_suspect(const std::string& host) const
 {
-    auto& status = hosts_[host];
-    ++status.consecutive_failures;
-    if (status.consecutive_failures < quarantine_failures)
+    return failures_.unexplained_failures(host) >= quarantine_failures;
+}
+
+bool job_tracker::is_quarantined(const std::string& host) const
+{
+    const auto it = hosts_.find(host);
+    return it != hosts_.end() && is_suspect(host) &&
+           clock_.now() < it->second.quarantined_until;
+}
+
+void job_tracker::record_host_failure(const std::string& host,
+                                      const policy::task_id& task, int run)
+{
+    failures_.record_failure(host, task, run);
+    const auto quarantined = std::count_if(hosts_.begin(), hosts_.end(),
+                                           [this](const auto& it)
+                                           {
+                                               return is_quarantined(it.first);
+                                           });
+    const bool may_quarantine =
+        is_quarantined(host) ||
+        std::size_t(quarantined) < policy::max_quarantined(hosts_.size());
+    if (!is_suspect(host) || !may_quarantine)
         return;
-    const auto time = quarantine_time(status.consecutive_failures);
-    status.quarantined_until = clock_.now() + time;
-    update_host(host);
+    const auto time = quarantine_time(failures_.unexplained_failures(host));
+    hosts_[host].quarantined_until = clock_.now() + time;
     record_event("host_quarantined", host,
                  std::to_string(time.count()) + " ms");
 }
@@ -102,11 +121,9 @@
 {
     const auto host = target.record.host;
     auto& owner = jobs_.find(target.record.id.job)->second;
-    record_host_failure(host);
+    record_host_failure(host, target.record.id, ++target.failed_runs);
     // Failures on a host that fails every task are not counted against the job.
-    const bool host_is_failing =
-        hosts_[host].consecutive_failures >= quarantine_failures;
-    if (!host_is_failing)
+    if (!is_suspect(host))
         ++target.record.failures;
     requeue_task(target);
     if (target.record.failures >= max_task_failures)
@@ -121,6 +138,8 @@
 {
     target.record.state = state;
     target.record.reason = reason;
+    failures_.job_ended(target.record.specification.id,
+                        state == job_state::failed);
     put_job(target);
     record_event("job_" + std::string(name_of(state)),
                  target.record.specification.id, reason);
--- a/src/mustardwick/coordination/job_tracker_test.cpp
+++ b/src/mustardwick/coordination/job_tracker_test.cpp
@@ -122,3 +122,32 @@
                   on_host(leaving ? tasks : tasks + 1));
     }
 }
+
+// Guards against quarantining the hosts on which a job that fails wherever it
+// runs was tried: other jobs find no host for 5 s and longer.
+Test(job_tracker, keeps_hosts_that_ran_only_failing_jobs)
+{
+    placed_job fixture;
+    for (int job = 0; job < 4; ++job)
+    {
+        job_record failing;
+        failing.specification.id = "k" + std::to_string(job);
+        failing.specification.tasks = 1;
+        failing.specification.size = {100, 100, 0};
+        fixture.tracker.add_job(failing);
+        for (int attempt = 0; attempt < 3; ++attempt)
+        {
+            fixture.clock.advance(base::milliseconds(100));
+            fixture.tracker.plan();
+            fixture.report("a" + std::to_string(fixture.last_attempt),
+                           wire::attempt_event::failed);
+        }
+    }
+    job_record healthy;
+    healthy.specification.id = "healthy";
+    healthy.specification.tasks = 1;
+    healthy.specification.size = {100, 100, 0};
+    fixture.tracker.add_job(healthy);
+    fixture.tracker.plan();
+    cr_assert(fixture.tracker.placed_per_host() == on_host(tasks + 1));
+}
