Replace a leader that refuses connections only if it does not renew

Callers saw: windows without placements while two failure domains could not reach each other, and leadership that moved at every attempt. Cause: a refused or reset connection counted as proof that the leader's process had ended, and the member took over at once. Behind a path that rejects connections both sides do so in turn. Change: a refused connection lets a member watch the head row without waiting for the heartbeat timeout. It takes over when the row has not been renewed for 0.38 s, longer than an idle leader's interval. The leader of a killed process is replaced 0.3 s later than before (0.1 s).

--- a/include/mustardwick/entry/leader_candidate.hpp
+++ b/include/mustardwick/entry/leader_candidate.hpp
@@ -43,8 +43,10 @@
     void stop();
     /// @brief Records a heartbeat of the leader.
     void heartbeat_received();
-    /// @brief Records that the host of the given epoch's leader refuses
-    /// connections, which shows that its process has terminated.
+    /// @brief Records that connections to the given epoch's leader are refused.
+    ///
+    /// Its process may have terminated, or the path to it rejects connections:
+    /// only the head row shows whether it still renews its leadership.
     void leader_connection_refused(std::int64_t epoch);
     /// @brief Acquires leadership that the leader has handed over.
     void take_over(const hand_over& offer);
@@ -68,8 +70,8 @@
     base::steady_time last_heartbeat_;
     base::steady_time next_read_;
     base::steady_time read_started_;
-    /// Epoch whose leader process is known to have terminated.
-    std::int64_t terminated_epoch_ = 0;
+    /// Epoch whose leader's host refused a connection; 0 for none.
+    std::int64_t refused_epoch_ = 0;
     std::optional<std::int64_t> observed_version_;
     base::steady_time observed_since_;
     std::optional<head_record> attempt_;
--- a/src/mustardwick/entry/leader_candidate.cpp
+++ b/src/mustardwick/entry/leader_candidate.cpp
@@ -23,6 +23,8 @@
 /// A daemon may replace the leader after three intervals without a heartbeat.
 constexpr milliseconds leader_timeout{600};
 constexpr milliseconds read_interval{150};
+/// Interval while the leader's host refuses connections.
+constexpr milliseconds read_interval_when_refused{60};
 constexpr milliseconds read_timeout{800};
 constexpr milliseconds acquire_timeout{1000};
 /// How long the head row must be unchanged before a takeover. A leader renews
@@ -30,6 +32,8 @@
 /// more than 50 ms instead of 3 ms.
 constexpr milliseconds takeover_delay{450};
 constexpr milliseconds takeover_delay_when_slow{800};
+/// An idle leader renews the row within 350 ms.
+constexpr milliseconds takeover_delay_when_refused{380};
 constexpr milliseconds slow_read{50};
 /// Small hosts wait so that larger ones acquire leadership first; the leader
 /// carries the highest load.
@@ -72,15 +76,15 @@
 void leader_candidate::heartbeat_received()
 {
     last_heartbeat_ = clock_.now();
-    terminated_epoch_ = 0;
+    refused_epoch_ = 0;
     observed_version_.reset();
 }
 
 void leader_candidate::leader_connection_refused(std::int64_t epoch)
 {
-    if (terminated_epoch_ == epoch)
+    if (refused_epoch_ == epoch)
         return;
-    terminated_epoch_ = epoch;
+    refused_epoch_ = epoch;
     last_heartbeat_ = {};
     next_read_ = {};
     if (is_small())
@@ -132,7 +136,9 @@
 {
     call_open_ = true;
     read_started_ = clock_.now();
-    next_read_ = read_started_ + read_interval;
+    next_read_ =
+        read_started_ +
+        (refused_epoch_ != 0 ? read_interval_when_refused : read_interval);
     store_.read(cell_table, plan_partition, head_key, 1, read_timeout,
                 [self = shared_from_this()](const durable::store_reply& reply)
                 {
@@ -167,8 +173,7 @@
     if (attempt_ && head->transaction == attempt_->transaction)
         return acquired(it->version);
     const bool own = head->leader == self_.name;
-    const bool terminated = head->epoch == terminated_epoch_;
-    if (head->released || own || terminated || taking_over_)
+    if (head->released || own || taking_over_)
         return acquire(head->epoch + 1, it->version);
     if (observed_version_ != it->version)
     {
@@ -177,8 +182,10 @@
         on_.leader_seen(*head);
         return;
     }
-    auto wait = now - read_started_ > slow_read ? takeover_delay_when_slow
-                                                : takeover_delay;
+    const bool refused = head->epoch == refused_epoch_;
+    auto wait = refused ? takeover_delay_when_refused : takeover_delay;
+    if (now - read_started_ > slow_read)
+        wait = takeover_delay_when_slow;
     if (is_small())
         wait += small_host_delay;
     if (now - observed_since_ >= wait &&
