Count a member that refuses connections as a possible successor

Callers would see: a task that runs twice. A leader that the store refuses keeps its authority while all members that may be running confirm it. A member behind a path that rejects connections was left out, could take over, and the former leader would go on renewing the leases of workers that only it reaches. Cause: the same class as the workers' (a refused connection taken for an ended process).

--- a/include/mustardwick/entry/member_heartbeats.hpp
+++ b/include/mustardwick/entry/member_heartbeats.hpp
@@ -24,8 +24,6 @@
     base::steady_time confirmed;
     /// When the store last answered the member, by this host's clock.
     base::steady_time store_answered;
-    /// No process listens at the member's address: the connection was refused.
-    bool connection_refused = false;
     bool leaving = false;
     bool heartbeat_open = false;
     bool responsive = false;
--- a/src/mustardwick/entry/member_heartbeats.cpp
+++ b/src/mustardwick/entry/member_heartbeats.cpp
@@ -61,7 +61,6 @@
         return;
     auto& it = members_[record.name];
     it.record = record;
-    it.connection_refused = false;
     it.leaving = false;
     it.next_heartbeat = clock_.now();
     if (!stopped_)
@@ -140,12 +139,10 @@
                         {{"member", name},
                          {"refused", int(result.connection_refused)}});
                 member.responsive = false;
-                member.connection_refused = result.connection_refused;
                 member.next_heartbeat = now + unresponsive_interval;
                 return;
             }
             member.responsive = true;
-            member.connection_refused = false;
             member.confirmed = sent;
             member.leaving = answer->leaving;
             if (answer->store_age_ms >= 0)
@@ -168,9 +165,9 @@
     const auto now = clock_.now();
     for (const auto& [name, it] : members_)
     {
-        const bool terminated =
-            it.connection_refused || it.confirmed + member_expiry < now;
-        if (!terminated)
+        // A member that refuses connections may be running behind a path that
+        // rejects them, and may have taken over.
+        if (it.confirmed + member_expiry >= now)
             out = std::min(out.value_or(it.confirmed), it.confirmed);
     }
     return out;
--- a/src/mustardwick/entry/member_heartbeats_test.cpp
+++ b/src/mustardwick/entry/member_heartbeats_test.cpp
@@ -60,3 +60,42 @@
         sender->stop();
     }
 }
+
+// Guards against a leader that takes a member behind a path that rejects
+// connections for terminated: the member may have taken over, and the leader
+// would go on renewing leases of workers that the member gives up.
+Test(member_heartbeats, counts_a_refusing_member_as_possible_successor)
+{
+    base::set_up_log("test", base::log_level::error);
+    boost::asio::io_context io;
+    base::system_clock clock;
+    const std::string secret = "secret";
+    const auto ignore = [](auto, const auto&, const auto&) {};
+    const auto reply = [](auto, const auto&, const auto& respond)
+    {
+        respond(wire::encode(heartbeat_reply{}));
+    };
+    const wire::endpoint addresses[] = {
+        {"127.0.0.1", 27451}, {"127.0.0.1", 27453}, {"127.0.0.1", 27455}};
+    aio::peer_hub leader(io, addresses[0], secret, ignore);
+    aio::peer_hub answering(io, addresses[1], secret, reply);
+    aio::peer_hub refusing(io, addresses[2], secret, reply);
+    cr_assert(leader.start() && answering.start() && refusing.start(), "%s",
+              base::last_error().text().c_str());
+    const auto sender = std::make_shared<member_heartbeats>(
+        io, clock, leader,
+        leader_heartbeat{1, "a", addresses[0].address, addresses[0].port, 0,
+                         false},
+        [](std::int64_t) {});
+    sender->start();
+    sender->add({"b", addresses[1].address, addresses[1].port, 1.0});
+    sender->add({"c", addresses[2].address, addresses[2].port, 1.0});
+    io.run_for(milliseconds(500));
+    refusing.stop();
+    const auto stopped = clock.now();
+    io.run_for(milliseconds(1000));
+    const auto confirmed = sender->confirmed();
+    cr_assert(confirmed.has_value());
+    cr_assert(*confirmed <= stopped);
+    sender->stop();
+}
