Name at most 100 hosts in one advice query

The advisor accepts 100 workers a query, and a step with one to three free channels sent up to 120 in a single one. Rejected, it would be repeated every 150 ms, and each try takes a channel out of use for 0.8 s.

--- a/include/mustardwick/policy/advice_plan.hpp
+++ b/include/mustardwick/policy/advice_plan.hpp
@@ -45,6 +45,9 @@
 /// equals that of about 70 hosts.
 inline constexpr std::size_t hosts_per_query = 15;
 
+/// The advisor rejects queries about more hosts.
+inline constexpr std::size_t max_hosts_per_query = 100;
+
 /// @brief Returns the number of parallel advice queries that hosts are split
 /// into.
 ///
--- a/src/mustardwick/dispatch/advice_test.cpp
+++ b/src/mustardwick/dispatch/advice_test.cpp
@@ -43,6 +43,21 @@
                                 worker) == first.workers.end());
 }
 
+// Guards against a query that the advisor rejects because it names too many
+// hosts: the step would send it again and again.
+Test(advice, names_no_more_hosts_than_the_advisor_accepts)
+{
+    for (const std::size_t channels : {1, 2, 4})
+    {
+        planner_fixture cell(200);
+        cell.submit(make_job("j", "asked", {make_step(150, 20, true)}));
+        const auto queries = cell.round(channels).queries;
+        cr_assert(!queries.empty());
+        for (const auto& it : queries)
+            cr_assert_leq(it.workers.size(), 100, "%d channels", int(channels));
+    }
+}
+
 struct load_case
 {
     std::size_t jobs;
--- a/src/mustardwick/dispatch/planner_advice.cpp
+++ b/src/mustardwick/dispatch/planner_advice.cpp
@@ -149,8 +149,9 @@
     slots.reserve(unknown.size());
     for (const auto& it : unknown)
         slots.push_back(std::max(1, it.slots));
-    const auto n = policy::hosts_to_query(slots, need.tasks, need.share);
-    const auto queries = policy::advice_queries_for(n, advice_.free);
+    const auto wanted = policy::hosts_to_query(slots, need.tasks, need.share);
+    const auto queries = policy::advice_queries_for(wanted, advice_.free);
+    const auto n = std::min(wanted, queries * policy::max_hosts_per_query);
     for (std::size_t it = 0; it < queries; ++it)
     {
         // Distributes the ranked hosts evenly over the queries.
