Place gang steps behind one that cannot run

Callers would see: gangs that wait in an empty cell for as long as a more urgent gang is in time that can't run (too wide, a label that no host has): it counted as planned capacity, reserved every host, and less urgent gangs were not even tried. Same class as the quarantines: one job's fault holds back what all share. Change: only a step whose tasks would fit in the empty hosts that are not denied to it reserves capacity or counts as planned, and less urgent gangs are held back only while the service is busy.

--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -213,9 +213,12 @@
     /// @brief Returns the number of tasks of a step that fit on a host now or
     /// soon.
     int potential_slots(const host_state& host, const ready_step& step) const;
-    /// @brief Returns false while more urgent gang steps wait for all the
-    /// capacity that can be planned ahead.
+    /// @brief Returns false while more urgent gang steps of a busy service wait
+    /// for all the capacity that can be planned ahead.
     bool may_plan_ahead(const ready_step& step) const;
+    /// @brief Returns whether all waiting tasks of a step would fit if the
+    /// usable hosts that are not denied to it were empty.
+    bool may_fit(const ready_step& step);
     /// @brief Reserves capacity for a gang step on hosts that are known to be
     /// allowed, until all its tasks fit.
     void reserve_capacity(const ready_step& step);
--- a/src/mustardwick/dispatch/placement_test.cpp
+++ b/src/mustardwick/dispatch/placement_test.cpp
@@ -108,6 +108,24 @@
     cell.plan.advice_answered(queries[0], allow_all(queries[0]),
                               cell.clock.now());
     auto idle_cpu = make_step(2, 4);
+
+// Guards against a gang step that cannot run and keeps all less urgent ones
+// from being placed in an empty cell.
+Test(placement, places_gang_steps_behind_one_that_cannot_run)
+{
+    planner_fixture cell(6);
+    cell.submit(make_job("too-wide", "asked", {make_step(40, 32, true)}));
+    cell.submit(make_job("fits", "asked", {make_step(2, 8, true)}));
+    std::size_t starts = 0;
+    for (int round = 0; round < 3; ++round)
+    {
+        const auto out = cell.round(4);
+        for (const auto& it : out.queries)
+            cell.plan.advice_answered(it, allow_all(it), cell.clock.now());
+        starts += out.starts.size();
+    }
+    cr_assert_eq(starts, 2);
+}
     idle_cpu.uses_idle_cpu = true;
     cell.submit(make_job("batch", "plain", {idle_cpu}, "many"));
     cr_assert_eq(cell.round().starts.size(), 2);
--- a/src/mustardwick/dispatch/planner_preemption.cpp
+++ b/src/mustardwick/dispatch/planner_preemption.cpp
@@ -52,7 +52,8 @@
 
 bool planner::may_plan_ahead(const ready_step& step) const
 {
-    if (!step.may_reserve())
+    // While there is room, a step that cannot run must not hold back others.
+    if (!step.may_reserve() || !is_busy(step.queue->service))
         return true;
     const auto usable_millicpus = processors_of(step.queue->service).usable;
     return double(round_planned_millicpus_) <
@@ -72,10 +73,26 @@
     return out;
 }
 
+bool planner::may_fit(const ready_step& step)
+{
+    int slots = 0;
+    for (const auto* host : round_hosts_[step.queue->service])
+    {
+        if (!step.state().access.is_denied(host->index))
+            slots += std::min(step.fit_in(host->info.capacity),
+                              max_tasks_on(*host, step));
+        if (slots >= step.waiting)
+            return true;
+    }
+    return false;
+}
+
 void planner::reserve_capacity(const ready_step& step)
 {
     if (!step.may_reserve())
         return;
+    if (!may_fit(step))
+        return;
     const auto usable_millicpus = processors_of(step.queue->service).usable;
     const bool can_reserve = double(round_planned_millicpus_) <
                              double(usable_millicpus) * reserved_share;
