Defer work by the load of its own service's listed hosts

Callers would see: work over its account's share, or past its deadline, that waits although its service has room. The flag that defers it was one for all services, and the load counted runs on workers that are gone, until their leases end, against the capacity of those still listed: a cell at 45 % that loses a third of its workers showed 68 %.

--- a/src/mustardwick/dispatch/placement_test.cpp
+++ b/src/mustardwick/dispatch/placement_test.cpp
@@ -58,6 +58,44 @@
     }
 }
 
+// Guards against deferring work because of runs on workers that are gone: their
+// leases last longer than their registry entries, whose capacity then is no
+// longer counted.
+Test(placement, counts_only_runs_on_listed_hosts_as_load)
+{
+    full_cell cell;
+    cell.add_host("w2");
+    // Of the listed 64 cores 20 are in use, of those of all hosts 40.
+    cell.plan.worker_unlisted("w0");
+    cell.submit(make_job("wide", "plain", {make_step(9, 20, true)}, "many"));
+    cell.submit(make_job("share", "plain", {make_step(1, 1)}));
+    cell.submit(make_job("surplus", "plain", {make_step(1, 1)}));
+    cr_assert_eq(cell.round().starts.size(), 2);
+}
+
+// Guards against a service without room that defers the work of another.
+Test(placement, defers_only_work_of_the_service_without_room)
+{
+    full_cell cell;
+    auto configuration = make_configuration();
+    configuration.accounts["many"] = {"many", {}, 1000, {}};
+    configuration.services["t"] = {"t", false, false};
+    configuration.queues["other"] = make_queue("other", 2);
+    configuration.queues["other"].service = "t";
+    cell.plan.set_configuration(configuration);
+    jobs::worker_info info;
+    info.id = "t0";
+    info.service = "t";
+    info.failure_domain = "z";
+    info.capacity = {host_cores * 1000, 64'000, 0};
+    cell.plan.worker_listed(info);
+    cell.report("t0");
+    cell.submit(make_job("wide", "plain", {make_step(2, 20, true)}, "many"));
+    cell.submit(make_job("share", "other", {make_step(1, 1)}));
+    cell.submit(make_job("surplus", "other", {make_step(1, 1)}));
+    cr_assert_eq(cell.round().starts.size(), 2);
+}
+
 // Guards against deferring work although most of the cell is free, as happened
 // while a failure domain was out of service.
 Test(placement, starts_everything_in_an_idle_cell)
@@ -71,6 +109,24 @@
     cr_assert_eq(cell.round().starts.size(), 2);
 }
 
+// Guards against a gang step that cannot run and keeps all less urgent ones
+// from being placed in an empty cell.
+Test(placement, places_gang_steps_behind_one_that_cannot_run)
+{
+    planner_fixture cell(6);
+    cell.submit(make_job("too-wide", "asked", {make_step(40, 32, true)}));
+    cell.submit(make_job("fits", "asked", {make_step(2, 8, true)}));
+    std::size_t starts = 0;
+    for (int round = 0; round < 3; ++round)
+    {
+        const auto out = cell.round(4);
+        for (const auto& it : out.queries)
+            cell.plan.advice_answered(it, allow_all(it), cell.clock.now());
+        starts += out.starts.size();
+    }
+    cr_assert_eq(starts, 2);
+}
+
 // Guards against small tasks that take the capacity which a gang step collects
 // host by host.
 Test(placement, reserves_capacity_for_gang_steps)
@@ -108,24 +164,6 @@
     cell.plan.advice_answered(queries[0], allow_all(queries[0]),
                               cell.clock.now());
     auto idle_cpu = make_step(2, 4);
-
-// Guards against a gang step that cannot run and keeps all less urgent ones
-// from being placed in an empty cell.
-Test(placement, places_gang_steps_behind_one_that_cannot_run)
-{
-    planner_fixture cell(6);
-    cell.submit(make_job("too-wide", "asked", {make_step(40, 32, true)}));
-    cell.submit(make_job("fits", "asked", {make_step(2, 8, true)}));
-    std::size_t starts = 0;
-    for (int round = 0; round < 3; ++round)
-    {
-        const auto out = cell.round(4);
-        for (const auto& it : out.queries)
-            cell.plan.advice_answered(it, allow_all(it), cell.clock.now());
-        starts += out.starts.size();
-    }
-    cr_assert_eq(starts, 2);
-}
     idle_cpu.uses_idle_cpu = true;
     cell.submit(make_job("batch", "plain", {idle_cpu}, "many"));
     cr_assert_eq(cell.round().starts.size(), 2);
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 #include "mustardwick/base/log.hpp"
 #include "mustardwick/dispatch/planner.hpp"
@@ -222,7 +224,6 @@
     for (auto& [id, host] : hosts_)
     {
         auto& processors = round_processors_[host.info.service];
-        processors.used += host.used.millicpus;
         if (host.listed)
         {
             processors.listed += host.info.capacity.millicpus;
@@ -241,19 +242,21 @@
     const auto steps = collect_ready_steps();
     round_.active_jobs = active_.size();
     round_.ready_steps = steps.size();
-    bool capacity_short = false;
+    std::set<std::string_view> short_services;
     for (const auto& it : steps)
+            processors.used += host.used.millicpus;
     {
         // Small tasks of deferrable work would fill every gap and use up the
         // advice channels that wide steps wait for.
-        if (capacity_short && policy::is_deferrable(it.value_class()))
+        const std::string_view service = it.queue->service;
+        if (short_services.contains(service) &&
+            policy::is_deferrable(it.value_class()))
         {
             ++round_.deferred;
             continue;
         }
-        const bool waits = !place_step(it);
-        capacity_short =
-            capacity_short || (waits && is_busy(it.queue->service));
+        if (!place_step(it) && is_busy(service))
+            short_services.insert(service);
     }
     const auto took = clock_.now() - started;
     round_.duration =
