Free a leader that has stepped down

Two callbacks kept it in memory with all its jobs: the handler of an open transaction, for up to 2 s, and the refusal of a submission that the planner holds, for good.

--- a/src/mustardwick/entry/cell_leader_calls.cpp
+++ b/src/mustardwick/entry/cell_leader_calls.cpp
@@ -51,11 +51,12 @@
     if (!job)
         return false;
     const auto tracked = calls_.track(respond);
-    const auto refuse = [self = shared_from_this(), tracked]
+    // The planner keeps the handler and is part of this object.
+    const auto refuse = [this, tracked]
     {
         job_reply out{reply_status::store_unavailable};
         out.retry_after_ms =
-            self->store_retry_after().value_or(min_retry_after).count();
+            store_retry_after().value_or(min_retry_after).count();
         tracked(answer(out));
     };
     if (store_retry_after() && !planner_.state_of(job->id))
--- a/src/mustardwick/entry/state_log.cpp
+++ b/src/mustardwick/entry/state_log.cpp
@@ -54,6 +54,8 @@
 {
     stopped_ = true;
     timer_.cancel();
+    // The handler owns the leader, and its call may stay open for seconds.
+    done_ = {};
 }
 
 void state_log::commit(durable::transaction change, done_handler done)
--- a/src/mustardwick/entry/state_log_test.cpp
+++ b/src/mustardwick/entry/state_log_test.cpp
@@ -101,3 +101,16 @@
     cr_assert_geq(cell.store.calls, 12);
     cr_assert_leq(cell.store.calls, 20);
 }
+
+// Guards against a leader that stays in memory after it has stepped down,
+// because an open transaction keeps it.
+Test(state_log, drops_its_handler_when_it_is_stopped)
+{
+    log_fixture cell(27417, store_fault::unresponsive);
+    auto owner = std::make_shared<int>();
+    const std::weak_ptr<int> observed = owner;
+    cell.log->commit({}, [owner](log_result) {});
+    owner.reset();
+    cell.log->stop();
+    cr_assert(observed.expired());
+}
