Keep faulty hosts from clearing each other

The attribution of failed runs let any second host show that a job is the cause, also one that fails everything itself, so that two faulty hosts in a full cell would clear each other. Change: only a host that has succeeded, and has failed no other job since, shows that a job is the cause. The bound of a third is taken of the hosts in service, not of evacuated and unreachable ones, and quarantines none of one or two hosts. Probation counts the runs that started since the quarantine, so that a long-running task does not prolong it.

--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -27,6 +28,10 @@
     stopping
 };
 
+/// A long-running task that has run for this time has shown that its host
+/// works; it fails by itself later.
+inline constexpr std::chrono::milliseconds healthy_run_time{2000};
+
 using run_key = std::pair<jobs::task_key, int>;
 
 /// @brief A run that occupies capacity on a worker.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -291,6 +291,9 @@
                                            std::vector<candidate>& unknown);
     const job_context& context_of(job_run& job);
     int tasks_within_maximum(job_run& job, const policy::resources& size);
+    /// @brief Returns whether a host answers and is in service, regardless of
+    /// refused orders and failed runs.
+    bool may_run_work(const host_state& host) const;
     bool is_usable(const host_state& host, std::string_view service) const;
     /// @brief Returns how many tasks of a step a host may run, regardless of
     /// its free capacity.
--- a/include/mustardwick/policy/failure_attribution.hpp
+++ b/include/mustardwick/policy/failure_attribution.hpp
@@ -4,8 +4,8 @@
 #include <cstddef>
 #include <functional>
 #include <map>
-#include <optional>
 #include <set>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -16,22 +16,21 @@
 ///
 /// When more hosts than these fail runs, the work is the likely cause, and
 /// excluding further hosts would leave the other work without capacity.
-inline constexpr double max_quarantined_share = 1.0 / 3;
+inline constexpr double max_quarantined_share = 0.34;
 
 /// @brief Returns how many of the given number of hosts may be quarantined at a
-/// time; at least one.
+/// time. None of one or two: work would have no other host.
 inline std::size_t max_quarantined(std::size_t hosts)
 {
-    return std::max<std::size_t>(
-        1, std::size_t(double(hosts) * max_quarantined_share));
+    return std::size_t(double(hosts) * max_quarantined_share);
 }
 
 /// @brief Attributes failed runs to hosts or to the jobs that failed.
 ///
-/// Load pattern: jobs that fail wherever they run, submitted in such numbers
-/// that every host sees several failures in a row. A failure counts against its
-/// host until the same task fails on a second host or its job ends as failed:
-/// either shows that the job is the cause.
+/// Load pattern: jobs that fail wherever they run, among others that fail
+/// because of a faulty host. A failure counts against its host until its job
+/// has failed on several hosts, one of which is trusted: it has succeeded, and
+/// has failed no other job since. Faulty hosts thus do not clear each other.
 ///
 /// Task is ordered by its member `job` first.
 template <typename Host, typename Task>
@@ -41,43 +40,47 @@
     /// @brief Records a failed run.
     void record_failure(const Host& host, const Task& task, int run)
     {
-        const auto [it, added] = failed_on_.try_emplace(task, host);
-        if (!it->second)
-            return;
-        if (*it->second == host)
-        {
-            unexplained_[host].insert({task, run});
-            return;
-        }
-        explain(*it->second, task);
-        it->second.reset();
+        unexplained_[host].insert({task, run});
+        auto& hosts = failed_on_[task];
+        hosts.insert(host);
+        if (hosts.size() > 1 && trust(host, task.job))
+            explain(task, hosts);
     }
 
     /// @brief Records that a run succeeded on a host, which shows that the host
     /// works.
     void record_success(const Host& host)
     {
+        blamed_by_[host].clear();
         unexplained_.erase(host);
     }
 
-    /// @brief Records that a job has ended; the failures of a failed job no
-    /// longer count against hosts.
+    /// @brief Records that a job has ended.
     void job_ended(std::string_view job, bool failed)
     {
         Task first;
         first.job = job;
-        auto it = failed_on_.lower_bound(first);
-        while (it != failed_on_.end() && it->first.job == job)
-        {
-            if (failed && it->second)
-                explain(*it->second, it->first);
-            it = failed_on_.erase(it);
-        }
+        const auto begin = failed_on_.lower_bound(first);
+        auto end = begin;
+        std::set<Host> hosts;
+        for (; end != failed_on_.end() && end->first.job == job; ++end)
+            hosts.insert(end->second.begin(), end->second.end());
+        const bool is_cause = failed && hosts.size() > 1 &&
+                              std::any_of(hosts.begin(), hosts.end(),
+                                          [&](const Host& host)
+                                          {
+                                              return trust(host, job);
+                                          });
+        if (is_cause)
+            for (auto it = begin; it != end; ++it)
+                explain(it->first, it->second);
+        failed_on_.erase(begin, end);
     }
 
     /// @brief Drops the state of a host, for example when it was restarted.
     void forget(const Host& host)
     {
+        blamed_by_.erase(host);
         unexplained_.erase(host);
     }
 
@@ -97,24 +100,50 @@
 private:
     using run_set = std::set<std::pair<Task, int>>;
 
-    void explain(const Host& host, const Task& task)
+    /// Returns whether a host has succeeded and has failed only this job since;
+    /// if so, it is trusted about no other job until it succeeds again.
+    bool trust(const Host& host, std::string_view job)
+    {
+        const auto blamed = blamed_by_.find(host);
+        if (blamed == blamed_by_.end() ||
+            (!blamed->second.empty() && blamed->second != job))
+            return false;
+        const auto it = unexplained_.find(host);
+        const bool only_this_job =
+            it == unexplained_.end() ||
+            std::all_of(it->second.begin(), it->second.end(),
+                        [&](const auto& run)
+                        {
+                            return run.first.job == job;
+                        });
+        if (only_this_job)
+            blamed->second = job;
+        return only_this_job;
+    }
+
+    void explain(const Task& task, const std::set<Host>& hosts)
     {
-        const auto found = unexplained_.find(host);
-        if (found == unexplained_.end())
-            return;
-        std::erase_if(found->second,
-                      [&](const auto& it)
-                      {
-                          return it.first == task;
-                      });
-        if (found->second.empty())
-            unexplained_.erase(found);
+        for (const auto& host : hosts)
+        {
+            const auto found = unexplained_.find(host);
+            if (found == unexplained_.end())
+                continue;
+            std::erase_if(found->second,
+                          [&](const auto& it)
+                          {
+                              return it.first == task;
+                          });
+            if (found->second.empty())
+                unexplained_.erase(found);
+        }
     }
 
-    /// The host on which a task failed; empty once it has failed on a second
-    /// one.
-    std::map<Task, std::optional<Host>> failed_on_;
+    /// Hosts on which tasks of open jobs have failed.
+    std::map<Task, std::set<Host>> failed_on_;
     std::map<Host, run_set> unexplained_;
+    /// Hosts that have succeeded, with the job that they have shown as the
+    /// cause of failures since; empty for none.
+    std::map<Host, std::string> blamed_by_;
 };
 
 } // namespace mustardwick::policy
--- a/src/mustardwick/coordination/job_tracker_completion.cpp
+++ b/src/mustardwick/coordination/job_tracker_completion.cpp
@@ -123,7 +123,7 @@
     auto& owner = jobs_.find(target.record.id.job)->second;
     record_host_failure(host, target.record.id, ++target.failed_runs);
     // Failures on a host that fails every task are not counted against the job.
-    if (!is_suspect(host))
+    if (!is_quarantined(host))
         ++target.record.failures;
     requeue_task(target);
     if (target.record.failures >= max_task_failures)
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -73,6 +73,18 @@
                        });
 }
 
+/// Returns whether a run that has started after the given time, or has not
+/// started yet, occupies a host.
+bool has_runs_since(const host_state& host, base::steady_time since)
+{
+    return std::any_of(host.runs.begin(), host.runs.end(),
+                       [&](const auto& it)
+                       {
+                           return it.second.started >= since ||
+                                  it.second.phase != run_phase::started;
+                       });
+}
+
 bool has_latency_sensitive_runs(const host_state& host)
 {
     return std::any_of(host.runs.begin(), host.runs.end(),
@@ -84,7 +96,7 @@
 
 } // namespace
 
-bool planner::is_usable(const host_state& host, std::string_view service) const
+bool planner::may_run_work(const host_state& host) const
 {
     // Between the restart of a worker and its first report, orders would reach
     // an incarnation whose runs are unknown.
@@ -92,12 +104,18 @@
         host.info.incarnation_start_ms == 0 ||
         host.info.incarnation_start_ms == host.incarnation_start_ms;
     return host.listed && host.adopted && host.reachable && same_incarnation &&
-           !host.info.draining && host.info.service == service &&
-           host.avoid_until <= clock_.now() &&
-           !(is_suspect(host) && clock_.now() < host.quarantined_until) &&
+           !host.info.draining &&
            !evacuated_.contains(host.info.failure_domain);
 }
 
+bool planner::is_usable(const host_state& host, std::string_view service) const
+{
+    const auto now = clock_.now();
+    return may_run_work(host) && host.info.service == service &&
+           host.avoid_until <= now &&
+           !(is_suspect(host) && now < host.quarantined_until);
+}
+
 std::int64_t planner::objective_of(const job_run& job, const jobs::queue& queue)
 {
     const auto advice =
@@ -226,6 +244,7 @@
         auto& processors = round_processors_[host.info.service];
         if (host.listed)
         {
+            processors.used += host.used.millicpus;
             processors.listed += host.info.capacity.millicpus;
             ++round_.listed_hosts;
             round_.unreachable_hosts += host.reachable ? 0 : 1;
@@ -244,7 +263,6 @@
     round_.ready_steps = steps.size();
     std::set<std::string_view> short_services;
     for (const auto& it : steps)
-            processors.used += host.used.millicpus;
     {
         // Small tasks of deferrable work would fill every gap and use up the
         // advice channels that wide steps wait for.
@@ -308,7 +326,7 @@
     // A host on probation gets one task at a time until one succeeds.
     int n = step.waiting;
     if (is_suspect(host))
-        n = host.runs.empty() ? 1 : 0;
+        n = has_runs_since(host, host.quarantined_until) ? 0 : 1;
     // Tasks that use idle CPU time can slow a latency-sensitive neighbour past
     // its target; they are not placed on its host.
     if (spec.uses_idle_cpu && has_latency_sensitive_runs(host))
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -115,6 +115,11 @@
     run.listed_in = host.report;
     if (!listed.checkpoint.empty())
         run.checkpoint = listed.checkpoint;
+    const bool ran_well = run.phase == run_phase::started && run.long_running &&
+                          clock_.now() - run.started > healthy_run_time;
+    // A long-running task has no end that would show that its host works.
+    if (ran_well && run.started >= host.quarantined_until)
+        failures_.record_success(host.index);
     if (run.phase == run_phase::ordered || run.phase == run_phase::inherited)
     {
         run.phase = run_phase::started;
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -20,9 +20,6 @@
 constexpr int failures_before_quarantine = 2;
 constexpr milliseconds first_quarantine{2000};
 constexpr int max_quarantine_doublings = 3;
-/// A long-running task that fails after this time fails by itself; its host has
-/// shown that it works.
-constexpr milliseconds healthy_run_time{2000};
 /// How long a step avoids a worker on which one of its tasks failed.
 constexpr milliseconds failed_worker_backoff{2000};
 constexpr milliseconds lease_check_interval{20};
@@ -263,20 +260,20 @@
 {
     if (!failures_.has_unexplained_failures())
         return;
-    std::map<std::string_view, std::size_t> listed;
+    std::map<std::string_view, std::size_t> available;
     std::map<std::string_view, std::vector<host_state*>> suspects;
     for (auto& [id, host] : hosts_)
     {
         host.exempt_from_quarantine = false;
-        if (!host.listed)
+        if (!may_run_work(host))
             continue;
-        ++listed[host.info.service];
+        ++available[host.info.service];
         if (is_suspect(host))
             suspects[host.info.service].push_back(&host);
     }
     for (auto& [service, found] : suspects)
     {
-        const auto max = policy::max_quarantined(listed[service]);
+        const auto max = policy::max_quarantined(available[service]);
         if (found.size() <= max)
             continue;
         std::stable_sort(
