Keep hosts in use after an order that they reject as malformed

Operators saw: a host without new work for 0.3 s after each order that its worker answered with status 400 (order_result::invalid). Cause: planner::start_answered took the rejection of an order for a statement about the host, although the order is at fault. Change: the step avoids that host for 2 s, as after a failed task (step_run::failed_on); other steps go on using it. Test: order_reply.keeps_hosts_usable_after_a_rejected_order, red before.

--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -20,8 +20,8 @@
 struct step_run
 {
     host_access access;
-    /// Hosts by index on which a task of the step failed, with the time at
-    /// which the step may use them again.
+    /// Hosts by index on which a task of the step failed, or that rejected one
+    /// of its orders, with the time at which the step may use them again.
     std::map<std::size_t, base::steady_time> failed_on;
     /// Latest expiry of the tickets.
     base::steady_time tickets_until;
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -238,6 +238,8 @@
     void run_lost(host_state& host, const run_key& key,
                   std::string_view reason);
     void apply_end(host_state& host, const jobs::ended_run& end);
+    /// @brief Keeps the step of a task off a host for a while.
+    void avoid_host(const jobs::task_key& task, const host_state& host);
     /// @brief Returns the task that a failure is attributed to: the members of
     /// a gang step fail as one.
     static jobs::task_key failure_subject(const job_run& job,
--- /dev/null
+++ b/src/mustardwick/dispatch/order_reply_test.cpp
@@ -0,0 +1,28 @@
+#include "planner_fixture_test.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace mustardwick;
+using namespace mustardwick::dispatch;
+using namespace mustardwick::dispatch::test;
+
+// Guards against idle hosts: an order that a worker rejects as malformed says
+// nothing about the worker, which used to get no work at all for 0.3 s.
+Test(order_reply, keeps_hosts_usable_after_a_rejected_order)
+{
+    planner_fixture cell(1);
+    cell.submit(make_job("j", "plain", {make_step(1, 1)}));
+    const auto order = cell.round().starts.at(0);
+    cell.plan.start_answered(
+        order, {jobs::order_result::invalid, cell.worker_clock()});
+    cell.submit(make_job("k", "plain", {make_step(1, 1)}));
+    const auto starts = cell.run_round().starts;
+    cr_assert_eq(starts.size(), 1);
+    cr_assert_eq(starts[0].task.job, "k");
+    // The step itself returns to the host after a while.
+    cell.clock.advance(milliseconds(2000));
+    cell.report("w0", {{starts[0].task, starts[0].run, "", 0}});
+    const auto again = cell.round().starts;
+    cr_assert_eq(again.size(), 1);
+    cr_assert_eq(again[0].task.job, "j");
+}
--- a/src/mustardwick/dispatch/planner_orders.cpp
+++ b/src/mustardwick/dispatch/planner_orders.cpp
@@ -69,6 +69,9 @@
         if (auto* step = find_step(order.task))
             step->access.reset(host.index);
     }
+    else if (reply.result == order_result::invalid)
+        // The fault is in the order: the host can still run other tasks.
+        avoid_host(order.task, host);
     else if (reply.result != order_result::stale_run &&
              reply.result != order_result::expired)
         host.avoid_until =
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -23,7 +23,8 @@
 /// A long-running task that fails after this time fails by itself; its host has
 /// shown that it works.
 constexpr milliseconds healthy_run_time{2000};
-/// How long a step avoids a worker on which one of its tasks failed.
+/// How long a step avoids a worker on which one of its tasks failed, or that
+/// rejected one of its orders.
 constexpr milliseconds failed_worker_backoff{2000};
 constexpr milliseconds lease_check_interval{20};
 
@@ -225,6 +226,12 @@
         finish_job(job, jobs::job_state::failed);
 }
 
+void planner::avoid_host(const jobs::task_key& task, const host_state& host)
+{
+    if (auto* step = find_step(task))
+        step->failed_on[host.index] = clock_.now() + failed_worker_backoff;
+}
+
 bool planner::is_suspect(const host_state& host) const
 {
     return !host.exempt_from_quarantine &&
@@ -335,8 +342,7 @@
         return task_done(*job, end.task);
     if (failed)
     {
-        if (auto* state = find_step(end.task))
-            state->failed_on[host.index] = clock_.now() + failed_worker_backoff;
+        avoid_host(end.task, host);
         task_failed(*job, end.task, end.run);
     }
     requeue(end.task, end.run, end.checkpoint);
