Do not take the clock of another worker for that of the one an order named

Cause: a worker whose address was given to another process answers an order with status 421 and its own clock (PROTOCOL.md: every response with a body carries clock_ms). planner::start_answered stored it as the clock of the named worker. Later orders were then valid, and blocked their tasks when they were not answered, for as long as the two clocks differ. Change: the clock of order_result::other_incarnation is not used. Test: order_reply.keeps_the_clock_of_the_named_worker, red before: a start was valid for 1,000 s instead of 1.5 s. Measured: dispatch_test, 47 tests, all pass.

--- a/src/mustardwick/dispatch/order_reply_test.cpp
+++ b/src/mustardwick/dispatch/order_reply_test.cpp
@@ -26,3 +26,19 @@
     cr_assert_eq(again.size(), 1);
     cr_assert_eq(again[0].task.job, "j");
 }
+
+// Guards against taking the clock of another worker, to which the address was
+// given, for that of the worker an order named: later orders would stay valid
+// for that long, and unanswered ones would block their tasks.
+Test(order_reply, keeps_the_clock_of_the_named_worker)
+{
+    planner_fixture cell(1);
+    cell.submit(make_job("j", "plain", {make_step(1, 1)}));
+    const auto order = cell.round().starts.at(0);
+    cell.plan.start_answered(order, {jobs::order_result::other_incarnation,
+                                     cell.worker_clock() + 1'000'000});
+    cell.clock.advance(milliseconds(400));
+    cell.report("w0");
+    const auto again = cell.round().starts.at(0);
+    cr_assert_leq(again.deadline_ms, cell.worker_clock() + 1'500);
+}
--- a/src/mustardwick/dispatch/planner_orders.cpp
+++ b/src/mustardwick/dispatch/planner_orders.cpp
@@ -36,7 +36,8 @@
     if (found == hosts_.end())
         return;
     auto& host = found->second;
-    if (reply.clock_ms != 0)
+    // Another worker at the address answers with its own clock.
+    if (reply.clock_ms != 0 && reply.result != order_result::other_incarnation)
         update_clock(host, reply.clock_ms);
     const run_key key{order.task, order.run};
     const auto it = host.runs.find(key);
