Await the worker's report of a run that was accepted without a clock

Callers would see: a task that runs twice. Cause: an answer with status 200 and without a usable clock_ms made planner::start_answered record the start as accepted at clock 0. Every report then counted as later than the start, also one made before it, so that a run missing from it was given up and started elsewhere while the order took effect. Change: such an answer proves no more than silence: the run is kept until a report lists it or the order has expired on the worker's clock. Test: order_reply.keeps_a_run_that_was_accepted_without_a_clock, red before.

--- a/src/mustardwick/dispatch/order_reply_test.cpp
+++ b/src/mustardwick/dispatch/order_reply_test.cpp
@@ -42,3 +42,18 @@
     const auto again = cell.round().starts.at(0);
     cr_assert_leq(again.deadline_ms, cell.worker_clock() + 1'500);
 }
+
+// Guards against running a task twice: the reply to its start carried no clock,
+// so that a report made before the start seemed to show that the run was over.
+Test(order_reply, keeps_a_run_that_was_accepted_without_a_clock)
+{
+    planner_fixture cell(2);
+    cell.submit(make_job("j", "plain", {make_step(1, 1)}));
+    const auto order = cell.round().starts.at(0);
+    cell.plan.start_answered(order, {jobs::order_result::accepted, 0});
+    cell.report(order.worker);
+    cr_assert(cell.round().starts.empty());
+    cell.report(order.worker, {{order.task, order.run, "", 0}});
+    cr_assert(cell.round().starts.empty());
+    cr_assert_eq(cell.plan.state_of("j"), jobs::job_state::running);
+}
--- a/src/mustardwick/dispatch/planner_orders.cpp
+++ b/src/mustardwick/dispatch/planner_orders.cpp
@@ -43,7 +43,13 @@
     const auto it = host.runs.find(key);
     if (it == host.runs.end())
         return;
-    if (reply.result == order_result::accepted)
+    // Without the worker's clock no report can be known to be later than the
+    // start.
+    const auto result =
+        reply.result == order_result::accepted && reply.clock_ms == 0
+            ? order_result::unknown
+            : reply.result;
+    if (result == order_result::accepted)
     {
         metrics_.add("mustardwick_starts_total");
         it->second.started_clock_ms = reply.clock_ms;
@@ -59,22 +65,21 @@
               {{"task", to_string(order.task)},
                {"run", order.run},
                {"worker", order.worker},
-               {"result", name_of(reply.result)}});
+               {"result", name_of(result)}});
     // The run may still exist: an order without a reply can take effect until
     // its deadline, and a successor may control the run of a fenced one.
-    if (reply.result == order_result::unknown ||
-        reply.result == order_result::fenced)
+    if (result == order_result::unknown || result == order_result::fenced)
         return;
-    if (reply.result == order_result::bad_ticket)
+    if (result == order_result::bad_ticket)
     {
         if (auto* step = find_step(order.task))
             step->access.reset(host.index);
     }
-    else if (reply.result == order_result::invalid)
+    else if (result == order_result::invalid)
         // The fault is in the order: the host can still run other tasks.
         avoid_host(order.task, host);
-    else if (reply.result != order_result::stale_run &&
-             reply.result != order_result::expired)
+    else if (result != order_result::stale_run &&
+             result != order_result::expired)
         host.avoid_until =
             std::max(host.avoid_until, clock_.now() + refusal_backoff);
     run_lost(host, key, "the order was not accepted");
