Ignore replies of a worker's former incarnation to orders

Callers would see: a task that never runs again, or one that runs twice. Cause: replies to orders travel on other connections than reports and may overtake each other (PROTOCOL.md). planner::start_answered and stop_answered applied a reply of a former incarnation, which came after the first report of the next one, to the latter: an accepted start made its run confirmed, so that no stop could end it any more; an accepted stop freed the run although its order could still reach the new incarnation; and the former clock, which is ahead, became the new one's. Change: an order names the incarnation it was decided for, and its reply counts only while that incarnation is the present one. begin_incarnation stops every run that the new one does not list, so nothing waits for such a reply. Tests: order_reply.ignores_replies_of_a_former_incarnation and order_reply.awaits_the_stop_of_the_present_incarnation, both red before.

--- a/include/mustardwick/dispatch/orders.hpp
+++ b/include/mustardwick/dispatch/orders.hpp
@@ -25,6 +25,8 @@
     base::steady_time ticket_expires = base::steady_time::max();
     /// Worker clock time after which the order has no effect.
     std::int64_t deadline_ms = 0;
+    /// The worker's incarnation that the order was decided for.
+    std::int64_t worker_incarnation_start_ms = 0;
 };
 
 /// @brief Order to stop one run on a worker.
@@ -33,6 +35,8 @@
     std::string worker;
     jobs::task_key task;
     int run = 0;
+    /// The worker's incarnation that the order was decided for.
+    std::int64_t worker_incarnation_start_ms = 0;
 };
 
 /// @brief Number of advice queries that can be sent now.
--- a/src/mustardwick/dispatch/order_reply_test.cpp
+++ b/src/mustardwick/dispatch/order_reply_test.cpp
@@ -57,3 +57,47 @@
     cr_assert(cell.round().starts.empty());
     cr_assert_eq(cell.plan.state_of("j"), jobs::job_state::running);
 }
+
+// Guards against a task that never runs again: a reply of its worker's former
+// incarnation arrived after the report of the next one.
+Test(order_reply, ignores_replies_of_a_former_incarnation)
+{
+    constexpr std::int64_t former_clock = 1'000'000;
+    for (const auto late : {jobs::order_result::accepted,
+                            jobs::order_result::insufficient_capacity})
+    {
+        planner_fixture cell(1);
+        cell.submit(make_job("j", "plain", {make_step(1, 1)}));
+        const auto order = cell.round().starts.at(0);
+        cell.report("w0", {}, {}, incarnation_start + 1);
+        cell.plan.start_answered(order,
+                                 {late, cell.worker_clock() + former_clock});
+        const auto out = cell.round();
+        cr_assert(out.starts.empty());
+        cr_assert_eq(out.stops.size(), 1);
+        cell.plan.stop_answered(
+            out.stops[0], {jobs::order_result::accepted, cell.worker_clock()});
+        cell.clock.advance(milliseconds(500));
+        cell.report("w0", {}, {}, incarnation_start + 1);
+        const auto again = cell.round().starts;
+        cr_assert_eq(again.size(), 1);
+        cr_assert_leq(again[0].deadline_ms, cell.worker_clock() + 1'500);
+    }
+}
+
+// Guards against a reply to a stop that says so of the worker's former
+// incarnation only: the order to start may still reach the next one.
+Test(order_reply, awaits_the_stop_of_the_present_incarnation)
+{
+    planner_fixture cell(2);
+    cell.submit(make_job("j", "plain", {make_step(1, 1)}));
+    cell.run_round();
+    cell.plan.cancel("j", [](cancel_result) {});
+    const auto former = cell.round().stops.at(0);
+    cell.report(former.worker, {}, {}, incarnation_start + 1);
+    cell.submit(make_job("k", "plain", {make_step(1, 32)}));
+    cell.submit(make_job("l", "plain", {make_step(1, 32)}));
+    cell.plan.stop_answered(former, {jobs::order_result::accepted, 1});
+    cell.report(former.worker, {}, {}, incarnation_start + 1);
+    cr_assert_eq(cell.round().starts.size(), 1);
+}
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -417,6 +417,7 @@
         }
         order.deadline_ms =
             estimated_clock(host) + options_.start_validity.count();
+        order.worker_incarnation_start_ms = host.incarnation_start_ms;
         it->second.phase = run_phase::ordered;
         it->second.order_expiry_ms = order.deadline_ms;
         host.lease_bound =
--- a/src/mustardwick/dispatch/planner_orders.cpp
+++ b/src/mustardwick/dispatch/planner_orders.cpp
@@ -36,6 +36,10 @@
     if (found == hosts_.end())
         return;
     auto& host = found->second;
+    // What a former incarnation replied says nothing about the present one,
+    // which was sent a stop of each run that it does not list.
+    if (order.worker_incarnation_start_ms != host.incarnation_start_ms)
+        return;
     // Another worker at the address answers with its own clock.
     if (reply.clock_ms != 0 && reply.result != order_result::other_incarnation)
         update_clock(host, reply.clock_ms);
@@ -89,7 +93,8 @@
                             const jobs::order_reply& reply)
 {
     const auto found = hosts_.find(order.worker);
-    if (found == hosts_.end() || reply.result != jobs::order_result::accepted)
+    if (found == hosts_.end() || reply.result != jobs::order_result::accepted ||
+        order.worker_incarnation_start_ms != found->second.incarnation_start_ms)
         return;
     update_clock(found->second, reply.clock_ms);
     const auto it = found->second.runs.find({order.task, order.run});
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -98,7 +98,8 @@
             std::size_t(listed.task.step) < job->specification.steps.size();
         if (!known)
         {
-            outbox_.stops.push_back({host.info.id, listed.task, listed.run});
+            outbox_.stops.push_back({host.info.id, listed.task, listed.run,
+                                     host.incarnation_start_ms});
             return;
         }
         add_run(host, *job, listed.task, listed.run, run_phase::started);
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -132,7 +132,8 @@
 {
     it.phase = run_phase::stopping;
     it.stop_sent = clock_.now();
-    outbox_.stops.push_back({host.info.id, it.task, it.run});
+    outbox_.stops.push_back(
+        {host.info.id, it.task, it.run, host.incarnation_start_ms});
     metrics_.add("mustardwick_stops_total");
 }
 
@@ -351,6 +352,7 @@
 void planner::begin_incarnation(host_state& host,
                                 const jobs::worker_report& report)
 {
+    host.incarnation_start_ms = report.incarnation_start_ms;
     std::set<run_key> listed;
     for (const auto& it : report.running)
         listed.insert({it.task, it.run});
@@ -372,7 +374,6 @@
     host.last_applied_end = 0;
     host.clock_ms = 0;
     failures_.forget(host.index);
-    host.incarnation_start_ms = report.incarnation_start_ms;
 }
 
 void planner::handle_expired_leases()
