Prove that a holder is gone before taking its hosts

Callers would see: a task that runs twice. Cause: worker_leases judged the holder of a host by its copy of the member rows, which is read every few seconds. A daemon that had registered since was "without a row", one that had registered again "fenced", and one that had restarted "of another incarnation". Its hosts were taken without fencing it. Where only the former holder reaches the worker, it goes on renewing the lease, and the new one reports the worker as empty after the wait, which counts on a holder without authority. Change: the transaction that takes the hosts of a failed holder checks the member row that shows the failure, also when it is absent or fenced. A holder row of a later incarnation than the copy's is taken only after a read of the member row.

--- a/include/mustardwick/coordination/worker_leases.hpp
+++ b/include/mustardwick/coordination/worker_leases.hpp
@@ -109,6 +109,7 @@
         const std::vector<std::pair<std::string, std::uint64_t>>& group,
         const std::set<std::string>& dead);
     bool may_acquire(const holder_record& holder) const;
+    bool has_registered_anew(const holder_record& holder) const;
     void release_hosts(const std::vector<std::string>& names);
     void open_or_probe(const entry_ptr& it);
     milliseconds renewal_interval() const;
--- a/src/mustardwick/coordination/worker_leases_holders.cpp
+++ b/src/mustardwick/coordination/worker_leases_holders.cpp
@@ -28,7 +28,20 @@
     if (links_.view.has_failed(holder.daemon))
         return true;
     const auto member = links_.registry.find(holder.daemon);
-    return member && member->record.incarnation != holder.incarnation;
+    if (!member || holder.incarnation == member->record.incarnation)
+        return false;
+    return holder.incarnation < member->record.incarnation ||
+           has_registered_anew(holder);
+}
+
+/// Returns whether a holder that is later than the copy of the member rows has
+/// ended: the copy may be outdated, but incarnations also begin again once a
+/// row has been deleted.
+bool worker_leases::has_registered_anew(const holder_record& holder) const
+{
+    const auto row = links_.table.read(member_key(holder.daemon));
+    const auto member = row ? parse_member(row->value) : std::nullopt;
+    return member && member->incarnation != holder.incarnation;
 }
 
 void worker_leases::acquire_hosts(const std::set<std::string>& wanted)
@@ -79,12 +92,15 @@
     }
     for (const auto& name : dead)
     {
+        // The check proves what the copy of the member rows says: the daemon
+        // may have registered since.
         const auto member = links_.registry.find(name);
+        change.checks.push_back(
+            {member_key(name), member ? member->version : 0});
         if (!member || member->record.fenced)
             continue;
         auto fenced = member->record;
         fenced.fenced = true;
-        change.checks.push_back({member_key(name), member->version});
         change.puts.push_back({member_key(name), to_row(fenced)});
     }
     // Peers that act without the table rely on not being fenced during a
