Await the lease at a worker's former address before using the next one

Callers would see: a task that runs twice. Cause: after an operator had given a host another address, worker_leases renewed the lease there. The worker at the new address, another process, answered that it knows no such lease, and its list of running tasks, which is empty, was taken for what the host runs: the planner sent the orders again, while the worker at the former address runs its tasks until its lease expires (15 s). Change: the former address is given up like an unresponsive worker: nothing is sent there any more, the host is reported as empty once no lease can be open, and only then is the new address used. Not covered: a daemon that takes over a host whose address changed while another one held it, as the holder row does not name the address. Test: worker_leases.awaits_the_lease_at_the_former_address, red before.

--- a/include/mustardwick/coordination/worker_leases.hpp
+++ b/include/mustardwick/coordination/worker_leases.hpp
@@ -104,6 +104,8 @@
     std::set<std::string> assigned_hosts(const configuration& config) const;
     void start_calls(const std::vector<entry_ptr>& due,
                      const configuration& config);
+    bool use_address(const entry_ptr& it,
+                     const ports::worker_address& worker) const;
     void acquire_hosts(const std::set<std::string>& wanted);
     bool commit_holders(
         const std::vector<std::pair<std::string, std::uint64_t>>& group,
--- a/src/mustardwick/coordination/worker_leases.cpp
+++ b/src/mustardwick/coordination/worker_leases.cpp
@@ -132,9 +132,15 @@
     for (const auto& it : due)
     {
         const auto spec = config.hosts.find(it->host);
+        const bool usable =
+            spec == config.hosts.end() ||
+            use_address(it, {spec->second.address, spec->second.worker});
+        if (!usable)
+        {
+            handle_unresponsive(it);
+            continue;
+        }
         const std::scoped_lock lock(it->mutex);
-        if (spec != config.hosts.end())
-            it->worker = {spec->second.address, spec->second.worker};
         it->busy = true;
         if (it->lease.empty() || it->renewals_suspended)
             opens.push_back(it);
@@ -155,6 +161,25 @@
             });
 }
 
+/// Sets the address of a host's worker. Returns false while a worker at the
+/// former address may still run tasks: what the one at the new address lists
+/// says nothing about them.
+bool worker_leases::use_address(const entry_ptr& it,
+                                const ports::worker_address& worker) const
+{
+    const std::scoped_lock lock(it->mutex);
+    const bool moved =
+        !it->worker.name.empty() &&
+        (it->worker.name != worker.name || it->worker.where != worker.where);
+    if (moved && !it->reported_empty)
+    {
+        it->lease.clear();
+        return false;
+    }
+    it->worker = worker;
+    return true;
+}
+
 void worker_leases::open_or_probe(const entry_ptr& it)
 {
     bool dropped = false;
--- a/testing/model/worker_leases_test.cpp
+++ b/testing/model/worker_leases_test.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include "mustardwick/base/log.hpp"
+#include "testing/model/lease_fixture.hpp"
 #include "testing/model/model_cell.hpp"
 
 using namespace mustardwick;
@@ -49,3 +50,30 @@
     cr_expect_eq(cell.monitor().counts["task_started"], 2);
     cr_expect(cell.monitor().broken().empty());
 }
+
+// Guards against running a task twice: a host was given another address, and
+// the worker found there, which runs nothing, was taken for the former one,
+// whose lease had not expired.
+Test(worker_leases, awaits_the_lease_at_the_former_address)
+{
+    const auto& timing = coordination::timing_settings{};
+    const auto lease = timing.worker_lease + timing.worker_lease / 100;
+    lease_fixture cell({"w0"});
+    cell.run(base::milliseconds{3000});
+    cr_assert_eq(cell.workers.opened.size(), 1);
+    cell.declare("w0", lease_fixture::second_address);
+    cell.run(base::milliseconds{1000});
+    const auto renewals = cell.workers.renewed.size();
+    cr_assert_not(cell.leases.lease_of("w0").has_value());
+    cell.run(lease);
+    cr_assert_eq(cell.workers.opened.size(), 1);
+    cr_assert_eq(cell.workers.renewed.size(), renewals);
+    cell.run(base::milliseconds{8000});
+    cr_assert_eq(cell.workers.opened.size(), 2);
+    cr_assert_eq(cell.workers.opened[1].address, lease_fixture::second_address);
+    // The planner learns that the former worker runs nothing any more before it
+    // sends orders to the next one.
+    cr_assert_geq(cell.reports.size(), 2);
+    cr_assert(cell.reports[cell.reports.size() - 2].emptied);
+    cr_assert(cell.reports.back().accepts_work);
+}
