Do not call a request "not run" because its second copy was refused

Cause: the clients of workers and of other daemons send an idempotent call again when a pooled connection ends without an answer. worker_client::request and request_router::forward read a refusal of the second copy as one of both: a worker that died while it served the first copy has a next process at the same address, which refuses the closed lease; a daemon may have lost the host between the two. Change: delivery::resent and call_progress::resent tell the caller of the client; a refusal is then an unknown outcome.

--- a/include/mustardwick/http/client.hpp
+++ b/include/mustardwick/http/client.hpp
@@ -17,7 +17,10 @@
     /// No byte of the request has been sent.
     not_sent,
     /// The peer may have received and executed the request.
-    maybe_sent
+    maybe_sent,
+    /// The request was sent a second time. An answer to the second copy does
+    /// not show whether the first was executed.
+    resent
 };
 
 /// @brief One HTTP request of the client.
--- a/include/mustardwick/wire/rpc.hpp
+++ b/include/mustardwick/wire/rpc.hpp
@@ -69,7 +69,10 @@
 enum class call_progress
 {
     not_sent,
-    maybe_sent
+    maybe_sent,
+    /// The call was sent a second time. An answer to the second copy does not
+    /// show whether the first was executed.
+    resent
 };
 
 struct rpc_client_options
--- a/src/mustardwick/caller/request_router.cpp
+++ b/src/mustardwick/caller/request_router.cpp
@@ -105,6 +105,11 @@
     auto answer = links_.peers.call<wire::forward_answer>(
         *peer, wire::message_type::forward_request, call, left, call.idempotent,
         &progress);
+    // The owner may have run the first copy before it restarted or lost the
+    // host.
+    if (answer && answer->result == outcome::refused &&
+        progress == wire::call_progress::resent)
+        return unknown_answer("daemon " + owner + " refused a second copy");
     if (answer)
         return std::move(*answer);
     if (progress == wire::call_progress::not_sent)
--- a/src/mustardwick/cli/daemon_client.cpp
+++ b/src/mustardwick/cli/daemon_client.cpp
@@ -76,7 +76,7 @@
     auto progress = http::delivery::not_sent;
     auto reply = send_once(prepare(daemon, call), progress);
     if (!reply)
-        return fail_unanswered(call, progress == http::delivery::maybe_sent);
+        return fail_unanswered(call, progress != http::delivery::not_sent);
     return api_answer{reply->status, std::move(reply->body),
                       wire::to_string(daemon), false};
 }
--- a/src/mustardwick/http/client.cpp
+++ b/src/mustardwick/http/client.cpp
@@ -126,6 +126,7 @@
     auto message = to_wire(peer, call);
     auto conn = call.idempotent ? impl_->take_idle(peer) : nullptr;
     bool pooled = conn != nullptr;
+    auto next = delivery::maybe_sent;
     while (true)
     {
         if (!conn)
@@ -134,7 +135,7 @@
             return base::fail(base::error_kind::unavailable,
                               "cannot connect to " + wire::to_string(peer),
                               "check that the peer runs and is reachable");
-        sent = delivery::maybe_sent;
+        sent = std::exchange(next, delivery::resent);
         bool keep_alive = false;
         auto answer = conn->write(message, deadline)
                           ? conn->read(impl_->options, call.method == "HEAD",
--- a/src/mustardwick/http/delivery_test.cpp
+++ b/src/mustardwick/http/delivery_test.cpp
@@ -250,8 +250,10 @@
     const scripted_server server(
         {answer_then_close(received), answer_once(received)});
     cr_assert(caller.send(server.address(), call_of(true)).has_value());
-    const auto second = caller.send(server.address(), call_of(true));
+    auto progress = delivery::not_sent;
+    const auto second = caller.send(server.address(), call_of(true), &progress);
     cr_assert(second && second->body == "second");
+    cr_assert_eq(progress, delivery::resent);
     cr_assert_eq(received, 2);
 }
 
--- a/src/mustardwick/ports/worker.cpp
+++ b/src/mustardwick/ports/worker.cpp
@@ -333,7 +333,10 @@
     if (!answer)
         return unknown("worker " + worker.name + " did not answer in time");
     const auto value = base::parse_json(answer->body, 8U << 20U);
-    if (answer->status == status_conflict && reports_closed_lease(value))
+    // A refusal of the second copy of a request does not show that the first
+    // has not run.
+    if (answer->status == status_conflict && reports_closed_lease(value) &&
+        progress != http::delivery::resent)
         return {wire::outcome::refused,
                 status_conflict,
                 {},
--- a/src/mustardwick/wire/rpc_client.cpp
+++ b/src/mustardwick/wire/rpc_client.cpp
@@ -249,6 +249,7 @@
     frame message{type, 0, payload};
     auto conn = impl_->take_idle(peer);
     bool pooled = conn != nullptr;
+    auto next = call_progress::maybe_sent;
     while (true)
     {
         if (!conn)
@@ -260,7 +261,7 @@
         // Assigned after the connection is taken, because the server requires
         // that the ids on each connection increase.
         message.correlation = impl_->next_correlation++;
-        sent = call_progress::maybe_sent;
+        sent = std::exchange(next, call_progress::resent);
         auto answer = impl_->exchange(*conn, message, deadline);
         if (answer && answer->type == message_type::answer)
         {
--- a/src/mustardwick/wire/rpc_test.cpp
+++ b/src/mustardwick/wire/rpc_test.cpp
@@ -353,15 +353,19 @@
         };
         const fake_peer peer({once_then_close, good});
         rpc_client caller({secret}, metrics);
+        auto progress = call_progress::not_sent;
         const auto send = [&](const std::string& text)
         {
             return caller
                 .call(peer.address(), message_type::notify_inbox, text,
-                      milliseconds{2000}, idempotent)
+                      milliseconds{2000}, idempotent, &progress)
                 .has_value();
         };
         cr_assert(send("first"));
+        cr_assert_eq(progress, call_progress::maybe_sent);
         cr_assert_eq(send("second"), idempotent);
+        cr_assert_eq(progress, idempotent ? call_progress::resent
+                                          : call_progress::maybe_sent);
         if (!idempotent)
             cr_assert(send("third"));
         cr_assert_eq(received, idempotent ? 2 : 1);
