--- a/src/mustardwick/dispatch/planner_orders.cpp
+++ b/src/mustardwick/dispatch/planner_orders.cpp
@@ -36,13 +36,24 @@
     if (found == hosts_.end())
         return;
     auto& host = found->second;
-    if (reply.clock_ms != 0)
+    // What a former incarnation replied says nothing about the present one,
+    // which was sent a stop of each run that it does not list.
+    if (order.worker_incarnation_start_ms != host.incarnation_start_ms)
+        return;
+    // Another worker at the address answers with its own clock.
+    if (reply.clock_ms != 0 && reply.result != order_result::other_incarnation)
         update_clock(host, reply.clock_ms);
     const run_key key{order.task, order.run};
     const auto it = host.runs.find(key);
     if (it == host.runs.end())
         return;
-    if (reply.result == order_result::accepted)
+    // Without the worker's clock no report can be known to be later than the
+    // start.
+    const auto result =
+        reply.result == order_result::accepted && reply.clock_ms == 0
+            ? order_result::unknown
+            : reply.result;
+    if (result == order_result::accepted)
     {
         metrics_.add("mustardwick_starts_total");
         it->second.started_clock_ms = reply.clock_ms;
@@ -58,19 +69,21 @@
               {{"task", to_string(order.task)},
                {"run", order.run},
                {"worker", order.worker},
-               {"result", name_of(reply.result)}});
+               {"result", name_of(result)}});
     // The run may still exist: an order without a reply can take effect until
     // its deadline, and a successor may control the run of a fenced one.
-    if (reply.result == order_result::unknown ||
-        reply.result == order_result::fenced)
+    if (result == order_result::unknown || result == order_result::fenced)
         return;
-    if (reply.result == order_result::bad_ticket)
+    if (result == order_result::bad_ticket)
     {
         if (auto* step = find_step(order.task))
             step->access.reset(host.index);
     }
-    else if (reply.result != order_result::stale_run &&
-             reply.result != order_result::expired)
+    else if (result == order_result::invalid)
+        // The fault is in the order: the host can still run other tasks.
+        avoid_host(order.task, host);
+    else if (result != order_result::stale_run &&
+             result != order_result::expired)
         host.avoid_until =
             std::max(host.avoid_until, clock_.now() + refusal_backoff);
     run_lost(host, key, "the order was not accepted");
@@ -80,7 +93,8 @@
                             const jobs::order_reply& reply)
 {
     const auto found = hosts_.find(order.worker);
-    if (found == hosts_.end() || reply.result != jobs::order_result::accepted)
+    if (found == hosts_.end() || reply.result != jobs::order_result::accepted ||
+        order.worker_incarnation_start_ms != found->second.incarnation_start_ms)
         return;
     update_clock(found->second, reply.clock_ms);
     const auto it = found->second.runs.find({order.task, order.run});
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -20,7 +20,8 @@
 constexpr int failures_before_quarantine = 2;
 constexpr milliseconds first_quarantine{2000};
 constexpr int max_quarantine_doublings = 3;
-/// How long a step avoids a worker on which one of its tasks failed.
+/// How long a step avoids a worker on which one of its tasks failed, or that
+/// rejected one of its orders.
 constexpr milliseconds failed_worker_backoff{2000};
 constexpr milliseconds lease_check_interval{20};
 
@@ -128,7 +129,8 @@
 {
     it.phase = run_phase::stopping;
     it.stop_sent = clock_.now();
-    outbox_.stops.push_back({host.info.id, it.task, it.run});
+    outbox_.stops.push_back(
+        {host.info.id, it.task, it.run, host.incarnation_start_ms});
     metrics_.add("mustardwick_stops_total");
 }
 
@@ -222,6 +224,12 @@
         finish_job(job, jobs::job_state::failed);
 }
 
+void planner::avoid_host(const jobs::task_key& task, const host_state& host)
+{
+    if (auto* step = find_step(task))
+        step->failed_on[host.index] = clock_.now() + failed_worker_backoff;
+}
+
 bool planner::is_suspect(const host_state& host) const
 {
     return !host.exempt_from_quarantine &&
@@ -332,8 +340,7 @@
         return task_done(*job, end.task);
     if (failed)
     {
-        if (auto* state = find_step(end.task))
-            state->failed_on[host.index] = clock_.now() + failed_worker_backoff;
+        avoid_host(end.task, host);
         task_failed(*job, end.task, end.run);
     }
     requeue(end.task, end.run, end.checkpoint);
@@ -342,6 +349,7 @@
 void planner::begin_incarnation(host_state& host,
                                 const jobs::worker_report& report)
 {
+    host.incarnation_start_ms = report.incarnation_start_ms;
     std::set<run_key> listed;
     for (const auto& it : report.running)
         listed.insert({it.task, it.run});
@@ -363,7 +371,6 @@
     host.last_applied_end = 0;
     host.clock_ms = 0;
     failures_.forget(host.index);
-    host.incarnation_start_ms = report.incarnation_start_ms;
 }
 
 void planner::handle_expired_leases()
