--- a/src/mustardwick/aio/handler_errors_test.cpp
+++ b/src/mustardwick/aio/handler_errors_test.cpp
@@ -23,12 +23,17 @@
                              if (request.target == "/odd")
                                  throw std::runtime_error("unexpected");
                              respond({200, "{}", "application/json", {}});
+                             if (request.target == "/late")
+                                 throw std::runtime_error("unexpected");
                          });
     cr_assert(server.start());
     const auto channel =
         std::make_shared<http_channel>(io, where, channel_options{});
-    const std::pair<const char*, int> cases[] = {
-        {"/odd", 500}, {"/usual", 200}, {"/odd", 500}, {"/usual", 200}};
+    const std::pair<const char*, int> cases[] = {{"/odd", 500},
+                                                 {"/usual", 200},
+                                                 {"/late", 200},
+                                                 {"/odd", 500},
+                                                 {"/usual", 200}};
     for (const auto& [target, status] : cases)
     {
         http_call call;
--- a/src/mustardwick/aio/http_listener.cpp
+++ b/src/mustardwick/aio/http_listener.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <set>
+#include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -169,6 +170,7 @@
         parser_.emplace();
         keep_alive_ = false;
         ++owner_->open_requests;
+        answered_ = false;
         answer({status_of_read_error(ec), "{}", "application/json", {}});
     }
 
@@ -186,6 +188,7 @@
         out.body = std::move(message.body());
         out.received = steady::now();
         ++owner_->open_requests;
+        answered_ = false;
         handle(std::move(out));
     }
 
@@ -208,13 +211,14 @@
                             "handler_failed",
                             {{"target", target}, {"reason", ex.what()}});
             keep_alive_ = false;
-            answer({500, "{}", "application/json", {}});
+            if (!answered_)
+                answer({500, "{}", "application/json", {}});
         }
     }
 
     void answer(outgoing_response reply)
     {
-        if (!busy_)
+        if (!busy_ || std::exchange(answered_, true))
             return;
         const bool last = owner_->draining || !keep_alive_;
         response_ = {};
@@ -265,6 +269,7 @@
     http::response<http::string_body> response_;
     bool keep_alive_ = true;
     bool busy_ = false;
+    bool answered_ = false;
 };
 
 void http_listener::impl::accept()
