--- a/testing/model/lease_fixture.cpp
+++ b/testing/model/lease_fixture.cpp
@@ -82,7 +82,7 @@
     return ports::attempt_answer{};
 }
 
-lease_fixture::lease_fixture(std::vector<std::string> hosts)
+lease_fixture::lease_fixture(const std::vector<std::string>& hosts)
     : registry(table, clock, member_named("a"),
                coordination::timing_settings{}.authority()),
       view(registry,
--- a/testing/model/lease_fixture.hpp
+++ b/testing/model/lease_fixture.hpp
@@ -56,7 +56,7 @@
     static constexpr const char* first_address = "10.0.0.1:80";
     static constexpr const char* second_address = "10.0.0.2:80";
 
-    explicit lease_fixture(std::vector<std::string> hosts);
+    explicit lease_fixture(const std::vector<std::string>& hosts);
 
     /// @brief Declares a host, or gives it another address.
     void declare(const std::string& host, const std::string& address);
