Read member rows again before a host is taken from an unknown incarnation

Callers would see: a task runs on two workers (P2), and its first copy keeps running until its holder happens to lose the host. Cause: outdated copy compared for inequality. worker_leases::may_acquire took a host when the incarnation in the holder row differed from the one in this daemon's copy of the member rows, and also when the copy said "fenced" or had no row. The copy may be older than the holder row (2 s in the model, up to 15 s in a node). A daemon that has just registered again and taken the host then loses it without being fenced: its authority and its lease renewals go on, while the new holder waits only 9 s + 2 leases + 5 s and reports the worker as empty. Change: when a holder of a wanted host is missing in the copy or has another incarnation there, the member rows are read after the holder rows. A daemon registers before it writes a holder row, so that the new copy has that incarnation or a later one; the transaction still checks the holder row. Test: worker_leases.leaves_hosts_to_holders_newer_than_the_known_row, both cases (fenced, removed) red on, green now.

--- a/include/mustardwick/coordination/worker_leases.hpp
+++ b/include/mustardwick/coordination/worker_leases.hpp
@@ -35,7 +35,7 @@
 {
     ports::table table;
     ports::workers workers;
-    const member_registry& registry;
+    member_registry& registry;
     const cluster_view& view;
     const config_store& config;
     change_freeze& freeze;
@@ -104,6 +104,8 @@
     std::set<std::string> assigned_hosts(const configuration& config) const;
     void start_calls(const std::vector<entry_ptr>& due,
                      const configuration& config);
+    bool know_holders(const std::set<std::string>& wanted,
+                      const std::vector<ports::row>& rows);
     void acquire_hosts(const std::set<std::string>& wanted);
     bool commit_holders(
         const std::vector<std::pair<std::string, std::uint64_t>>& group,
--- a/src/mustardwick/coordination/worker_leases_holders.cpp
+++ b/src/mustardwick/coordination/worker_leases_holders.cpp
@@ -31,11 +31,30 @@
     return member && member->record.incarnation != holder.incarnation;
 }
 
+/// Reads the member rows again if a holder is missing in the copy or has
+/// another incarnation there. The holder may have registered after the copy was
+/// read, and only its current row shows whether it has failed.
+bool worker_leases::know_holders(const std::set<std::string>& wanted,
+                                 const std::vector<ports::row>& rows)
+{
+    for (const auto& it : rows)
+    {
+        const auto holder = parse_holder(it.value).value_or(holder_record{});
+        const auto member = links_.registry.find(holder.daemon);
+        const bool known =
+            holder.daemon.empty() ||
+            (member && member->record.incarnation == holder.incarnation);
+        if (!known && wanted.count(it.key.substr(holder_prefix.size())) > 0)
+            return links_.registry.refresh();
+    }
+    return true;
+}
+
 void worker_leases::acquire_hosts(const std::set<std::string>& wanted)
 {
     next_acquire_ = links_.clock.now() + acquire_interval;
     const auto rows = links_.table.scan_all(holder_prefix);
-    if (!rows)
+    if (!rows || !know_holders(wanted, *rows))
         return;
     std::map<std::string, ports::row> found;
     for (const auto& it : *rows)
