Reclaim parts of request limits only from daemons that are fenced or gone

Callers would see: a team runs more requests than its limit (P4), up to twice as many, while some daemons cannot reach each other. Cause: suspicion taken for termination. The escrow reclaimed the part of a daemon that failure detection had considered dead for 84 s. Nothing had fenced the daemon: it reached the table, renewed its row, kept its authority and went on using its part, which it only reads again when it needs more. Hosts and leadership are taken with a fence or a version; parts were not. Change: escrow_holders (common to node and model, which had a copy each) says which holders have terminated: their member row is fenced, has a later incarnation or is gone. The time until a part is reclaimed counts from then, and the rows are read again just before. A daemon that failure detection considers dead and whose row has stood still for 9 s is fenced, in a transaction that checks the row's version; else the part of a dead daemon without hosts, which nobody fences, would be lost. Why it works: a fenced or replaced incarnation loses its authority within 9 s and cannot regain it, so that its requests have ended after the wait; a daemon that still renews its row conflicts with the fence and keeps its part.

--- a/include/mustardwick/coordination/member_registry.hpp
+++ b/include/mustardwick/coordination/member_registry.hpp
@@ -56,6 +56,9 @@
     /// whether the row was unchanged and the deletion was committed.
     bool remove(const known_member& member);
 
+    /// @brief Fences another member unless its row has changed.
+    ports::commit_state fence(const known_member& member);
+
     std::vector<known_member> members() const;
     std::optional<known_member> find(std::string_view name) const;
 
--- a/include/mustardwick/coordination/request_escrow.hpp
+++ b/include/mustardwick/coordination/request_escrow.hpp
@@ -11,6 +11,7 @@
 
 #include "mustardwick/base/clock.hpp"
 #include "mustardwick/coordination/config_store.hpp"
+#include "mustardwick/coordination/escrow_holders.hpp"
 #include "mustardwick/coordination/records.hpp"
 #include "mustardwick/ports/table.hpp"
 
@@ -23,12 +24,9 @@
     ports::table table;
     const config_store& config;
     const base::clock& clock;
-    /// Name and incarnation of this daemon. Includes the incarnation because
-    /// requests of the previous one may still be running against its part.
-    std::function<std::string()> self;
-    /// Returns whether a daemon, given by name and incarnation as in self, has
-    /// failed, has restarted or is no longer a member.
-    std::function<bool(const std::string& daemon)> has_failed;
+    /// Parts belong to incarnations, because requests of the previous one may
+    /// still be running against its part.
+    escrow_holders& holders;
     /// Returns the number of live daemons.
     std::function<std::size_t()> live_members;
     /// Asks a peer to transfer some of its part. Returns the amount
@@ -116,7 +114,7 @@
     mutable std::mutex mutex_;
     std::mutex write_mutex_;
     std::map<std::string, account> accounts_;
-    std::map<std::string, base::steady_time> failed_since_;
+    std::map<std::string, base::steady_time> terminated_since_;
 };
 
 } // namespace mustardwick::coordination
--- a/src/mustardwick/coordination/member_registry.cpp
+++ b/src/mustardwick/coordination/member_registry.cpp
@@ -167,6 +167,18 @@
     return table_.commit(change).state == commit_state::committed;
 }
 
+commit_state member_registry::fence(const known_member& member)
+{
+    auto fenced = member.record;
+    fenced.fenced = true;
+    const auto key = member_key(fenced.name);
+    const ports::transaction change{base::unique_id(),
+                                    {{key, member.version}},
+                                    {{key, to_row(fenced)}},
+                                    {}};
+    return ports::commit_resolved(table_, change, key).state;
+}
+
 std::vector<known_member> member_registry::members() const
 {
     const std::scoped_lock lock(mutex_);
--- a/src/mustardwick/coordination/request_escrow.cpp
+++ b/src/mustardwick/coordination/request_escrow.cpp
@@ -66,7 +66,7 @@
         ++accounts_[team].in_use;
         return true;
     }
-    const auto self = links_.self();
+    const auto self = links_.holders.self();
     for (int n = 0; n < 2; ++n)
     {
         {
@@ -130,7 +130,7 @@
     it.loaded = true;
     it.version = row->version;
     it.record = record;
-    it.part = part_of(record, links_.self());
+    it.part = part_of(record, links_.holders.self());
     return true;
 }
 
@@ -150,7 +150,7 @@
     it.loaded = true;
     it.version = result.revision;
     it.record = next;
-    it.part = part_of(next, links_.self());
+    it.part = part_of(next, links_.holders.self());
     return true;
 }
 
@@ -180,24 +180,24 @@
             (unallocated + 1) /
             std::max<std::int64_t>(
                 1, static_cast<std::int64_t>(links_.live_members()));
-        next.parts[links_.self()] +=
+        next.parts[links_.holders.self()] +=
             std::clamp<std::int64_t>(share, 1, unallocated);
         write(team, next, known.version);
         return;
     }
-    const auto self = links_.self();
+    const auto self = links_.holders.self();
     const auto largest = std::max_element(
         known.record.parts.begin(), known.record.parts.end(),
         [this](const auto& left, const auto& right)
         {
             const auto amount = [this](const auto& it)
             {
-                return it.first == links_.self() ? -1 : it.second;
+                return it.first == links_.holders.self() ? -1 : it.second;
             };
             return amount(left) < amount(right);
         });
     const bool has_donor = largest != known.record.parts.end() &&
-                           largest->first != links_.self() &&
+                           largest->first != links_.holders.self() &&
                            largest->second > 0;
     if (!has_donor)
         return;
@@ -228,7 +228,7 @@
         return 0;
     const auto known = copy_of(team);
     auto next = known.record;
-    next.parts[links_.self()] = known.part;
+    next.parts[links_.holders.self()] = known.part;
     next.parts[receiver] += granted;
     // When the commit is not confirmed the part stays lowered until reload()
     // finds a newer row.
@@ -267,24 +267,25 @@
         next_part = it.part;
     }
     auto next = before.record;
-    if (part_of(next, links_.self()) == next_part)
+    if (part_of(next, links_.holders.self()) == next_part)
         return;
-    next.parts[links_.self()] = next_part;
+    next.parts[links_.holders.self()] = next_part;
     write(team, next, before.version);
 }
 
 void request_escrow::reclaim(const std::string& team)
 {
     const std::scoped_lock one_writer(write_mutex_);
-    if (!reload(team))
+    if (!links_.holders.refresh() || !reload(team))
         return;
     const auto known = copy_of(team);
     auto next = known.record;
     for (const auto& [daemon, amount] : known.record.parts)
     {
-        const auto since = failed_since_.find(daemon);
+        const auto since = terminated_since_.find(daemon);
         const bool reclaimable =
-            since != failed_since_.end() &&
+            since != terminated_since_.end() &&
+            links_.holders.has_terminated(daemon) &&
             links_.clock.now() - since->second >= reclaim_after_;
         if (reclaimable)
             next.parts.erase(daemon);
@@ -326,11 +327,14 @@
         bool any_due = false;
         for (const auto& [daemon, amount] : known.record.parts)
         {
-            if (!links_.has_failed(daemon))
-                failed_since_.erase(daemon);
+            if (!links_.holders.has_terminated(daemon))
+            {
+                terminated_since_.erase(daemon);
+                links_.holders.fence_if_dead(daemon);
+            }
             else
                 any_due = links_.clock.now() -
-                                  failed_since_
+                                  terminated_since_
                                       .try_emplace(daemon, links_.clock.now())
                                       .first->second >=
                               reclaim_after_ ||
@@ -358,7 +362,7 @@
         if (!reload(team))
             continue;
         auto known = copy_of(team);
-        known.record.parts.erase(links_.self());
+        known.record.parts.erase(links_.holders.self());
         write(team, known.record, known.version);
     }
 }
--- a/src/mustardwick/daemon/node.cpp
+++ b/src/mustardwick/daemon/node.cpp
@@ -57,15 +57,9 @@
       peers_({settings_.inner.secret}, metrics_),
       writes_(table_, settings_.timing.commit_interval, metrics_),
       claims_(table_, writes_),
-      escrow_({table_, config_, clock_,
-               [this]
-               {
-                   return escrow_name();
-               },
-               [this](const std::string& it)
-               {
-                   return escrow_holder_failed(it);
-               },
+      escrow_holders_(registry_, view_, freeze_, clock_,
+                      settings_.timing.authority()),
+      escrow_({table_, config_, clock_, escrow_holders_,
                [this]
                {
                    return view_.live_members().size();
@@ -450,23 +444,6 @@
     return leaving_hosts_.count(host) > 0;
 }
 
-std::string node::escrow_name() const
-{
-    return settings_.name + '#' + std::to_string(registry_.incarnation());
-}
-
-bool node::escrow_holder_failed(const std::string& holder) const
-{
-    const auto separator = holder.find('#');
-    const auto name = holder.substr(0, separator);
-    const auto member = registry_.find(name);
-    if (!member || view_.has_failed(name))
-        return true;
-    const auto incarnation = std::to_string(member->record.incarnation);
-    return separator == std::string::npos ||
-           holder.substr(separator + 1) != incarnation;
-}
-
 bool node::stop()
 {
     {
--- a/src/mustardwick/daemon/node.hpp
+++ b/src/mustardwick/daemon/node.hpp
@@ -95,8 +95,6 @@
     bool wait_for_config();
     bool wait(std::chrono::milliseconds time);
     bool is_leaving(const std::string& host) const;
-    std::string escrow_name() const;
-    bool escrow_holder_failed(const std::string& holder) const;
 
     std::function<void(std::function<void()>)> poster();
 
@@ -117,6 +115,7 @@
     wire::rpc_client peers_;
     coordination::group_commit writes_;
     coordination::claim_log claims_;
+    coordination::escrow_holders escrow_holders_;
     coordination::request_escrow escrow_;
     coordination::report_sender reports_;
     coordination::worker_leases leases_;
--- a/src/mustardwick/daemon/node_peers.cpp
+++ b/src/mustardwick/daemon/node_peers.cpp
@@ -155,13 +155,13 @@
 node::request_escrow_transfer(const std::string& peer, const std::string& team,
                               std::int64_t amount)
 {
-    const auto address = view_.endpoint_of(peer.substr(0, peer.find('#')));
+    const auto address = view_.endpoint_of(coordination::daemon_of(peer));
     if (!address)
         return std::nullopt;
     const auto answer = peers_.call<wire::escrow_answer>(
         *address, message_type::escrow_request,
-        wire::escrow_request{team, escrow_name(), amount}, escrow_timeout,
-        false);
+        wire::escrow_request{team, escrow_holders_.self(), amount},
+        escrow_timeout, false);
     if (!answer)
         return std::nullopt;
     return answer->granted;
--- a/testing/model/model_daemon.cpp
+++ b/testing/model/model_daemon.cpp
@@ -39,6 +39,8 @@
              freeze),
       leadership(table_, registry, view),
       writes(table_, group_interval, metrics_), claims(table_, writes),
+      holders(registry, view, freeze, cell.clock_of(number),
+              cell.timing().authority()),
       escrow(escrow_links(), cell.timing().authority() +
                                  lease_margin * cell.timing().worker_lease +
                                  cell.timing().max_request_time),
@@ -126,14 +128,7 @@
     return {table_,
             config,
             cell_.clock_of(index),
-            [this]
-            {
-                return name + '#' + std::to_string(registry.incarnation());
-            },
-            [this](const std::string& holder)
-            {
-                return escrow_holder_failed(holder);
-            },
+            holders,
             [this]
             {
                 return view.live_members().size();
@@ -145,17 +140,6 @@
             }};
 }
 
-bool model_daemon::escrow_holder_failed(const std::string& holder) const
-{
-    const auto mark = holder.find('#');
-    const auto daemon = holder.substr(0, mark);
-    const auto member = registry.find(daemon);
-    if (!member || view.has_failed(daemon))
-        return true;
-    return holder.substr(mark + 1) !=
-           std::to_string(member->record.incarnation);
-}
-
 bool model_daemon::start()
 {
     if (!registry.register_self())
@@ -210,8 +194,8 @@
 std::optional<std::int64_t> model_daemon::request_escrow_transfer(
     const std::string& peer, const std::string& team, std::int64_t amount)
 {
-    const auto to = peer.substr(0, peer.find('#'));
-    const auto receiver = name + '#' + std::to_string(registry.incarnation());
+    const auto to = coordination::daemon_of(peer);
+    const auto receiver = holders.self();
     return cell_.call<std::int64_t>(
         index, to,
         [&](model_daemon& it)
--- a/testing/model/model_daemon.hpp
+++ b/testing/model/model_daemon.hpp
@@ -57,7 +57,6 @@
 private:
     coordination::member_record self_record() const;
     coordination::escrow_links escrow_links();
-    bool escrow_holder_failed(const std::string& holder) const;
     std::optional<wire::deliver_answer> deliver(const wire::deliver& orders);
     std::optional<wire::task_events_answer>
     deliver_reports(const wire::task_events& events);
@@ -89,6 +88,7 @@
     coordination::planner_leadership leadership;
     coordination::group_commit writes;
     coordination::claim_log claims;
+    coordination::escrow_holders holders;
     coordination::request_escrow escrow;
     coordination::report_sender reports;
     coordination::worker_leases leases;
