--- a/include/mustardwick/coordination/worker_leases.hpp
+++ b/include/mustardwick/coordination/worker_leases.hpp
@@ -35,7 +35,7 @@
 {
     ports::table table;
     ports::workers workers;
-    const member_registry& registry;
+    member_registry& registry;
     const cluster_view& view;
     const config_store& config;
     change_freeze& freeze;
@@ -106,12 +106,13 @@
                      const configuration& config);
     bool use_address(const entry_ptr& it,
                      const ports::worker_address& worker) const;
+    bool know_holders(const std::set<std::string>& wanted,
+                      const std::vector<ports::row>& rows);
     void acquire_hosts(const std::set<std::string>& wanted);
     bool commit_holders(
         const std::vector<std::pair<std::string, std::uint64_t>>& group,
         const std::set<std::string>& dead);
     bool may_acquire(const holder_record& holder) const;
-    bool has_registered_anew(const holder_record& holder) const;
     void release_hosts(const std::vector<std::string>& names);
     void open_or_probe(const entry_ptr& it);
     milliseconds renewal_interval() const;
