--- a/include/mustardwick/entry/leader_availability.hpp
+++ b/include/mustardwick/entry/leader_availability.hpp
@@ -39,7 +39,7 @@
     }
 
 private:
-    /// A failed leader is replaced after 0.1 to 1.3 s (docs/platform.md).
+    /// A failed leader is replaced after 0.4 to 1.3 s (docs/platform.md).
     static constexpr std::chrono::milliseconds max_leader_change{1500};
     /// Calls are retried every 60 ms. After a gap of this length, earlier
     /// failures no longer count.
