Use no part of a request limit that belongs to a fenced incarnation

Cause: state of a former incarnation used under the current name. Only acquire() noticed that the part in memory belonged to the previous incarnation. transfer() and lower_own_part() granted or kept it and wrote it under the new name, while the row still had it under the former one, so that the parts exceeded the limit. Evidence: d1 and d2 hold parts of a limit of 4; d2#1 is fenced and registers as d2#2; a transfer to d1, or a lowered limit, gives d2#2 a part beside that of d2#1, and the parts of the row sum to more than 4. Change: every use of the account goes through own_account(), which discards the part of a former incarnation, and rows are written under the name for which the part is valid. A transfer copies the account in the same critical section in which it lowers the part.

--- a/include/mustardwick/coordination/request_escrow.hpp
+++ b/include/mustardwick/coordination/request_escrow.hpp
@@ -97,6 +97,7 @@
     };
 
     void release_due(account& it) const;
+    account& own_account(const std::string& team);
 
     std::int64_t limit_of(const std::string& team) const;
     bool reload(const std::string& team);
--- a/src/mustardwick/coordination/request_escrow.cpp
+++ b/src/mustardwick/coordination/request_escrow.cpp
@@ -56,6 +56,21 @@
     return it == accounts_.end() ? account{} : it->second;
 }
 
+/// Returns a team's account for the current incarnation; the caller holds
+/// mutex_. The part of the previous, fenced incarnation is not used, because
+/// peers may have reclaimed it.
+request_escrow::account& request_escrow::own_account(const std::string& team)
+{
+    const auto self = links_.holders.self();
+    auto& it = accounts_[team];
+    if (std::exchange(it.holder, self) != self)
+    {
+        it.part = 0;
+        it.loaded = false;
+    }
+    return it;
+}
+
 bool request_escrow::acquire(const std::string& team)
 {
     if (limit_of(team) < 0)
@@ -66,19 +81,11 @@
         ++accounts_[team].in_use;
         return true;
     }
-    const auto self = links_.holders.self();
     for (int n = 0; n < 2; ++n)
     {
         {
             const std::scoped_lock lock(mutex_);
-            auto& it = accounts_[team];
-            // The part belonged to the previous, fenced incarnation, and peers
-            // may have reclaimed it.
-            if (std::exchange(it.holder, self) != self)
-            {
-                it.part = 0;
-                it.loaded = false;
-            }
+            auto& it = own_account(team);
             release_due(it);
             if (it.in_use < it.part)
             {
@@ -124,13 +131,13 @@
         return false;
     const auto record = parse_escrow(row->value).value_or(escrow_record{});
     const std::scoped_lock lock(mutex_);
-    auto& it = accounts_[team];
+    auto& it = own_account(team);
     if (it.loaded && row->version <= it.version)
         return true;
     it.loaded = true;
     it.version = row->version;
     it.record = record;
-    it.part = part_of(record, links_.holders.self());
+    it.part = part_of(record, it.holder);
     return true;
 }
 
@@ -146,11 +153,11 @@
     if (result.state != commit_state::committed)
         return false;
     const std::scoped_lock lock(mutex_);
-    auto& it = accounts_[team];
+    auto& it = own_account(team);
     it.loaded = true;
     it.version = result.revision;
     it.record = next;
-    it.part = part_of(next, links_.holders.self());
+    it.part = part_of(next, it.holder);
     return true;
 }
 
@@ -217,18 +224,19 @@
     if (!one_writer.owns_lock() || !reload(team))
         return 0;
     std::int64_t granted = 0;
+    account known;
     {
         const std::scoped_lock lock(mutex_);
-        auto& it = accounts_[team];
+        auto& it = own_account(team);
         release_due(it);
         granted = std::clamp<std::int64_t>(it.part - it.in_use, 0, amount);
         it.part -= granted;
+        known = it;
     }
     if (granted == 0)
         return 0;
-    const auto known = copy_of(team);
     auto next = known.record;
-    next.parts[links_.holders.self()] = known.part;
+    next.parts[known.holder] = known.part;
     next.parts[receiver] += granted;
     // When the commit is not confirmed the part stays lowered until reload()
     // finds a newer row.
@@ -261,15 +269,17 @@
     {
         const std::scoped_lock lock(mutex_);
         auto& it = accounts_[team];
+        if (it.holder != before.holder)
+            return;
         release_due(it);
         next_part = std::max(it.in_use, it.part * limit / sum);
         it.part = std::min(it.part, next_part);
         next_part = it.part;
     }
     auto next = before.record;
-    if (part_of(next, links_.holders.self()) == next_part)
+    if (part_of(next, before.holder) == next_part)
         return;
-    next.parts[links_.holders.self()] = next_part;
+    next.parts[before.holder] = next_part;
     write(team, next, before.version);
 }
 
--- a/src/mustardwick/coordination/request_escrow_test.cpp
+++ b/src/mustardwick/coordination/request_escrow_test.cpp
@@ -89,13 +89,7 @@
     two_daemons()
     {
         base::set_up_log("test", base::log_level::error);
-        change_request change;
-        change.kind = resource_kind::team;
-        change.name = "t";
-        change.desired = R"({"limit_requests":)" + std::to_string(limit) + '}';
-        cr_assert(first.config.change(change).has_value());
-        first.refresh();
-        second.refresh();
+        set_limit(limit);
         first.escrow.tick();
         clock.advance(1s);
         second.escrow.tick();
@@ -104,6 +98,28 @@
         second.escrow.release("t");
     }
 
+    void set_limit(std::int64_t value)
+    {
+        const auto stored = first.config.read(resource_kind::team, "t");
+        change_request change;
+        change.kind = resource_kind::team;
+        change.name = "t";
+        change.expected =
+            stored ? change_precondition::version : change_precondition::absent;
+        change.version = stored ? stored->version : 0;
+        change.desired = R"({"limit_requests":)" + std::to_string(value) + '}';
+        cr_assert(first.config.change(change).has_value());
+        first.refresh();
+        second.refresh();
+    }
+
+    std::int64_t part_of(const std::string& holder)
+    {
+        const auto row = state.read(escrow_key("t"));
+        auto record = parse_escrow(row.value).value_or(escrow_record{});
+        return record.parts[holder];
+    }
+
     std::int64_t allocated()
     {
         const auto row = state.read(escrow_key("t"));
@@ -179,3 +195,30 @@
     cr_expect(cell.first.holders.has_terminated("d2#1"));
     cr_expect_not(cell.first.holders.has_terminated("d2#2"));
 }
+
+// Guards against a daemon that transfers or keeps the part of its previous
+// incarnation under its own name: the parts would exceed the limit.
+Test(request_escrow, does_not_use_the_part_of_a_fenced_incarnation)
+{
+    enum class use : std::uint8_t
+    {
+        transfer,
+        lower
+    };
+    for (const auto it : {use::transfer, use::lower})
+    {
+        two_daemons cell;
+        cr_assert_eq(
+            cell.first.registry.fence(cell.first.registry.find("d2").value()),
+            ports::commit_state::committed);
+        cell.second.registry.renew();
+        cr_assert_eq(cell.second.registry.incarnation(), 2);
+        if (it == use::transfer)
+            cr_expect_eq(cell.second.escrow.transfer("t", "d1#1", 1), 0);
+        else
+            cell.set_limit(limit - 1);
+        cell.second.escrow.tick();
+        cr_expect_eq(cell.part_of("d2#2"), 0);
+        cr_expect_leq(cell.allocated(), limit);
+    }
+}
