Run at least one sequence in each soak of the model

Cause: the run time was truncated to whole seconds, and a soak of no time ran no sequence. Change: the run time keeps its fraction, and the first sequence always runs.

--- a/testing/model/soak_main.cpp
+++ b/testing/model/soak_main.cpp
@@ -32,21 +32,23 @@
     return 0;
 }
 
-/// Runs sequences from consecutive seeds; returns 1 when any breaks a promise.
-int run_for(std::uint64_t seed, std::chrono::seconds time)
+/// Runs sequences from consecutive seeds, at least one; returns 1 when any
+/// breaks a promise.
+int run_for(std::uint64_t seed, std::chrono::duration<double> time)
 {
     const auto end = std::chrono::steady_clock::now() + time;
     std::map<std::string, int> counts;
     std::uint64_t n = 0;
     int failures = 0;
-    for (; std::chrono::steady_clock::now() < end; ++n)
+    do
     {
         const auto broken = run_sequence(
             {seed + n}, operations_of(seed + n, sequence_length), counts);
         failures += broken.empty() ? 0 : 1;
         for (const auto& it : broken)
             std::cout << "seed=" << seed + n << " broken=\"" << it << "\"\n";
-    }
+        ++n;
+    } while (std::chrono::steady_clock::now() < end);
     std::cout << "sequences=" << n << " failed=" << failures;
     for (const auto& [name, count] : counts)
         std::cout << ' ' << name << '=' << count;
@@ -79,5 +81,5 @@
     const auto seed = given["seed"].as<std::uint64_t>();
     if (given.count("explain") > 0)
         return explain(seed, sequence_length);
-    return run_for(seed, std::chrono::seconds{static_cast<int>(minutes * 60)});
+    return run_for(seed, std::chrono::duration<double>{minutes * 60});
 }
