--- a/testing/soak/hosted_soak.py
+++ b/testing/soak/hosted_soak.py
@@ -19,6 +19,7 @@
 import time
 
 import http_stub
+from faults import SecondFaults
 from store import Store
 from workers import Promises, Worker, serve_advice
 
@@ -108,6 +109,7 @@
                    self.promises, self.store)
             for it, port in enumerate(ports.take(options.workers))]
         self.faults = 0
+        self.second = SecondFaults(self)
         self.tasks = set()
 
     def configure(self):
@@ -319,7 +321,8 @@
         await self.start()
         await asyncio.sleep(2)
         until = time.monotonic() + self.options.seconds
-        await asyncio.gather(self.send_jobs(until), self.inject(until))
+        await asyncio.gather(self.send_jobs(until), self.inject(until),
+                             self.second.inject(until))
         deadline = time.monotonic() + FINISH_TIMEOUT_S
         while time.monotonic() < deadline:
             await asyncio.sleep(0.5)
--- a/testing/soak/http_stub.py
+++ b/testing/soak/http_stub.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 import urllib.parse
 
 
@@ -38,13 +40,40 @@
     return Request(method, target, headers, body)
 
 
-async def serve(host, port, handle):
-    """Starts a server; handle(request) returns (status, body)."""
-
-    async def connection(reader, writer):
+class Listener:
+    """A server whose port can be closed or made to reset connections;
+    handle(request) returns (status, body)."""
+
+    def __init__(self, host, port, handle):
+        self.host = host
+        self.port = port
+        self.handle = handle
+        self.resets = False
+        self.server = None
+        self.writers = set()
+
+    async def open(self):
+        if self.server is None:
+            self.server = await asyncio.start_server(self.serve, self.host,
+                                                     self.port)
+
+    def close(self):
+        """Refuses new connections and resets the open ones."""
+        self.server.close()
+        self.server = None
+        self.reset_connections()
+
+    def reset_connections(self):
+        for it in list(self.writers):
+            reset(it)
+
+    async def serve(self, reader, writer):
+        if self.resets:
+            return reset(writer)
+        self.writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
-                status, body = await handle(request)
+                status, body = await self.handle(request)
                 data = json.dumps(body).encode()
                 writer.write(
                     b"HTTP/1.1 %d -\r\nContent-Type: application/json\r\n"
@@ -55,9 +84,23 @@
             # Withheld responses, killed peers and shutdown of the run.
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
+        return None
+
 
-    return await asyncio.start_server(connection, host, port)
+def reset(writer):
+    """Closes a connection with RST."""
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def serve(host, port, handle):
+    """Starts a server; handle(request) returns (status, body)."""
+    listener = Listener(host, port, handle)
+    await listener.open()
+    return listener
 
 
 async def call(host, port, method, path, body=None, headers=(), timeout=3.0):
--- a/testing/soak/workers.py
+++ b/testing/soak/workers.py
@@ -2,6 +2,7 @@
 promises at task start and end."""
 
 import asyncio
+import datetime
 import random
 import time
 import zlib
@@ -27,7 +28,8 @@
 
     def violate(self, text):
         self.violations.append(text)
-        print("VIOLATION", text, flush=True)
+        now = datetime.datetime.now(datetime.timezone.utc)
+        print("VIOLATION", text, now.strftime("at %H:%M:%S.%f"), flush=True)
 
     def step_of(self, task):
         job, _, step, _ = task.split(".")
@@ -81,6 +83,10 @@
         self.promises = promises
         self.store = store
         self.fault = None
+        # Fault of the network path: "refuse", "reset", "one_way" or None. The
+        # worker's own state does not depend on it.
+        self.path = None
+        self.listener = None
         self.up = False
         self.sequence = 0
         self.start_incarnation()
@@ -228,12 +234,28 @@
             response = 404, {}
         if late or incarnation != self.incarnation:
             raise Withhold
+        if self.path == "one_way":
+            await asyncio.sleep(4)
+            raise Withhold
         return response
 
     async def listen(self):
         asyncio.ensure_future(self.tick())
         asyncio.ensure_future(self.announce())
-        return await serve(self.host, self.port, self.handle)
+        self.listener = await serve(self.host, self.port, self.handle)
+
+    def break_path(self, kind):
+        self.path = kind
+        if kind == "refuse":
+            self.listener.close()
+        if kind == "reset":
+            self.listener.resets = True
+            self.listener.reset_connections()
+
+    async def mend_path(self):
+        self.path = None
+        self.listener.resets = False
+        await self.listener.open()
 
 
 async def serve_advice(host, port):
