Count requests that a planned stop leaves without an answer

Three clients for each daemon keep connections open until the process is gone. A connection that ends after the whole request was sent, while no unplanned fault was active, is a violation (LOST). A client checks for the end of its connection just before it sends.

--- a/testing/soak/hosted_soak.py
+++ b/testing/soak/hosted_soak.py
@@ -19,7 +19,7 @@
 import time
 
 import http_stub
-from faults import SecondFaults
+from faults import ActiveFaults, SecondFaults
 from store import Store
 from workers import Promises, Worker, serve_advice
 
@@ -30,6 +30,7 @@
 # Time limit in seconds for finishing every accepted job after the last fault:
 # the maximum lease, a leader election and the work itself.
 FINISH_TIMEOUT_S = 30
+CALL_TIMEOUT_S = 3.5
 STORE_FAULTS = ["busy", "reset", "unresponsive", "slow", "lost", "late"]
 
 
@@ -69,9 +70,12 @@
             "advisor": f"{HOST}:{self.advice}",
             "limits": {"max_lease_ms": 6000, "stop_grace_ms": 400}}))
         self.process = None
+        # Set from SIGTERM until the process is started again.
+        self.stops_as_planned = False
         self.restarting = asyncio.Lock()
 
     async def start(self):
+        self.stops_as_planned = False
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 self.program, "--hosted", stdout=log, stderr=log,
@@ -86,12 +90,46 @@
             self.process.send_signal(number)
 
     async def stop(self, number):
+        self.stops_as_planned = number == signal.SIGTERM
         self.signal(signal.SIGCONT)
         self.signal(number)
         if self.process is not None:
             await self.process.wait()
 
 
+class KeptClient:
+    """A caller that uses one connection to one daemon until it is closed, and
+    opens the next one at once, until the process is gone."""
+
+    def __init__(self, soak, daemon):
+        self.soak = soak
+        self.daemon = daemon
+        self.connection = None
+
+    async def send(self, *request):
+        if self.connection is None or self.connection.has_ended():
+            self.connection = await http_stub.Connection.open(
+                HOST, self.daemon.callers)
+        try:
+            return await asyncio.wait_for(self.connection.ask(*request),
+                                          CALL_TIMEOUT_S)
+        except (OSError, asyncio.TimeoutError):
+            self.connection.close()
+            raise
+
+    async def get(self, method, name):
+        deadline_ms = random.choice([300, 300, 1000, 3000])
+        return await self.soak.ask(self.daemon, method, name, deadline_ms,
+                                   self.send)
+
+    async def run(self):
+        while not self.soak.over:
+            await asyncio.sleep(random.uniform(0.1, 0.6))
+            names = self.soak.unfinished()
+            if names:
+                await self.soak.query(random.choice(names), self.get)
+
+
 class Soak:
     """Runs the cell, its callers and the fault injection."""
 
@@ -109,7 +147,11 @@
                    self.promises, self.store)
             for it, port in enumerate(ports.take(options.workers))]
         self.faults = 0
+        self.faults_active = ActiveFaults()
         self.second = SecondFaults(self)
+        self.sending = True
+        # Ends the callers; wait_for() may swallow their cancellation.
+        self.over = False
         self.tasks = set()
 
     def configure(self):
@@ -160,12 +202,30 @@
                     ["plain", "asked"])}
 
     async def call(self, method, name, body=None):
-        job = self.promises.jobs[name]
         daemon = random.choice(self.daemons)
-        path = f"/{job['queue']}/{name}"
-        headers = [f"Authorization: Bearer {job['key']}", "Deadline-Ms: 3000"]
-        return await http_stub.call(HOST, daemon.callers, method, path, body,
-                                    headers, 3.5)
+
+        async def send(*request):
+            return await http_stub.call(HOST, daemon.callers, *request,
+                                        timeout=CALL_TIMEOUT_S)
+
+        return await self.ask(daemon, method, name, 3000, send, body)
+
+    async def ask(self, daemon, method, name, deadline_ms, send, body=None):
+        """Sends a request about a job to a daemon."""
+        job = self.promises.jobs[name]
+        headers = [f"Authorization: Bearer {job['key']}",
+                   f"Deadline-Ms: {deadline_ms}"]
+        sent = time.monotonic()
+        try:
+            return await send(method, f"/{job['queue']}/{name}", body, headers)
+        except http_stub.NoAnswer as it:
+            if (daemon.stops_as_planned and
+                    self.faults_active.quiet_since("unplanned") < sent):
+                self.promises.violate(
+                    f"LOST {method} {name} to {daemon.name}, which is being "
+                    f"stopped, ended without an answer after "
+                    f"{time.monotonic() - sent:.2f} s ({it})")
+            raise
 
     async def submit(self, name):
         """Submits a job and retries as a caller does."""
@@ -199,7 +259,7 @@
         if cancels:
             job["cancelled"] = True
             await self.cancel(name)
-        while not job.get("shown"):
+        while not job.get("shown") and not self.over:
             await asyncio.sleep(self.random.uniform(0.3, 1.0))
             await self.query(name)
 
@@ -214,10 +274,10 @@
                 pass
             await asyncio.sleep(0.3)
 
-    async def query(self, name):
+    async def query(self, name, call=None):
         job = self.promises.jobs[name]
         try:
-            status, body = await self.call("GET", name)
+            status, body = await (call or self.call)("GET", name)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
                 IndexError):
             return
@@ -238,9 +298,9 @@
             if state == "cancelled" and not job["cancelled"]:
                 self.promises.violate(f"LOST {name} has state cancelled")
 
-    async def send_jobs(self, until):
+    async def send_jobs(self):
         number = 0
-        while time.monotonic() < until:
+        while self.sending:
             number += 1
             name = f"{self.options.seed & 0xffffffff:08x}{number:08x}"
             self.promises.jobs[name] = self.make_job()
@@ -254,19 +314,32 @@
         kind = self.random.choice(["kill", "term", "pause", "hup"])
         length = self.random.uniform(0.2, 5)
         self.log_fault("daemon", it.name, kind, length)
-        if kind == "hup":
-            return it.signal(signal.SIGHUP)
-        if kind == "pause":
-            it.signal(signal.SIGSTOP)
-            await asyncio.sleep(length)
-            return it.signal(signal.SIGCONT)
-        await it.stop(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
+        if kind == "term":
+            return await self.stop_for(it)
+        with self.faults_active.during("unplanned"):
+            if kind == "hup":
+                it.signal(signal.SIGHUP)
+            elif kind == "pause":
+                it.signal(signal.SIGSTOP)
+                await asyncio.sleep(length)
+                it.signal(signal.SIGCONT)
+            else:
+                await it.stop(signal.SIGKILL)
+                await self.restart(it)
+        return None
+
+    async def stop_for(self, it):
+        """Stops a daemon as planned and starts it again."""
+        with self.faults_active.during("planned"):
+            await it.stop(signal.SIGTERM)
+            await self.restart(it)
+
+    async def restart(self, it):
         await asyncio.sleep(0.5)
         # A concurrent fault may have restarted or stopped the same process.
         async with it.restarting:
             if not it.running():
                 await it.start()
-        return None
 
     async def store_fault(self):
         kind = self.random.choice(STORE_FAULTS)
@@ -275,11 +348,12 @@
         ports = [it.store for it in self.daemons
                  if self.random.random() < share]
         self.log_fault("store", f"{len(ports)} daemons", kind, length)
-        for it in ports:
-            self.store.faults[it] = kind
-        await asyncio.sleep(length)
-        for it in ports:
-            self.store.faults.pop(it, None)
+        with self.faults_active.during("unplanned"):
+            for it in ports:
+                self.store.faults[it] = kind
+            await asyncio.sleep(length)
+            for it in ports:
+                self.store.faults.pop(it, None)
 
     async def worker_fault(self):
         it = self.random.choice(self.workers)
@@ -290,14 +364,16 @@
             # Already down: the concurrent fault restarts it.
             if not it.up:
                 return
-            it.crash()
-            self.store.drop("servers", it.id)
-            await asyncio.sleep(length)
-            it.start_incarnation()
+            with self.faults_active.during("unplanned"):
+                it.crash()
+                self.store.drop("servers", it.id)
+                await asyncio.sleep(length)
+                it.start_incarnation()
             return
-        it.fault = kind
-        await asyncio.sleep(length)
-        it.fault = None
+        with self.faults_active.during("unplanned"):
+            it.fault = kind
+            await asyncio.sleep(length)
+            it.fault = None
 
     def log_fault(self, what, where, kind, length):
         self.faults += 1
@@ -321,13 +397,20 @@
         await self.start()
         await asyncio.sleep(2)
         until = time.monotonic() + self.options.seconds
-        await asyncio.gather(self.send_jobs(until), self.inject(until),
-                             self.second.inject(until))
+        observers = [asyncio.ensure_future(KeptClient(self, it).run())
+                     for it in self.daemons * 3]
+        load = asyncio.ensure_future(self.send_jobs())
+        await asyncio.gather(self.inject(until), self.second.inject(until))
+        if self.second.calm_follows:
+            await self.second.calm()
+        self.sending = False
+        await load
         deadline = time.monotonic() + FINISH_TIMEOUT_S
         while time.monotonic() < deadline:
             await asyncio.sleep(0.5)
             if not self.tasks:
                 break
+        await self.end_callers(observers)
         for name in self.unfinished():
             self.promises.violate(f"LOST {name} has not finished "
                                   f"{FINISH_TIMEOUT_S} s after the last fault")
@@ -349,6 +432,16 @@
             self.promises.violate("fewer than a quarter of the jobs accepted")
         return not self.promises.violations
 
+    async def end_callers(self, observers):
+        for it in observers:
+            if it.done():
+                await it
+        self.over = True
+        ending = [*observers, *self.tasks]
+        for it in ending:
+            it.cancel()
+        await asyncio.gather(*ending, return_exceptions=True)
+
     def kill_daemons(self):
         for it in self.daemons:
             if it.running():
--- a/testing/soak/http_stub.py
+++ b/testing/soak/http_stub.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import select
 import socket
 import struct
 import urllib.parse
@@ -11,6 +12,10 @@
     """Closes the connection of a request without sending a response."""
 
 
+class NoAnswer(ConnectionError):
+    """The connection ended after the whole request was sent."""
+
+
 class Request:
     """A parsed request with its query parameters and JSON body."""
 
@@ -103,26 +108,60 @@
     return listener
 
 
+class Connection:
+    """A client's connection, for one request after the other."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def open(cls, host, port):
+        return cls(*await asyncio.open_connection(host, port))
+
+    def close(self):
+        self.writer.close()
+
+    def has_ended(self):
+        """Asks the kernel too: the event loop may not have read the end yet."""
+        if self.reader.at_eof() or self.writer.is_closing():
+            return True
+        number = self.writer.get_extra_info("socket").fileno()
+        return bool(select.select([number], [], [], 0)[0])
+
+    async def ask(self, method, path, body, headers):
+        data = json.dumps(body).encode() if body is not None else b""
+        lines = [f"{method} {path} HTTP/1.1", "Host: soak.example",
+                 f"Content-Length: {len(data)}",
+                 "Content-Type: application/json", *headers]
+        if self.has_ended():
+            raise ConnectionAbortedError("ended before the request was sent")
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + data)
+        await self.writer.drain()
+        try:
+            return await self.read_answer()
+        except (ConnectionError, asyncio.IncompleteReadError, IndexError) as it:
+            raise NoAnswer(type(it).__name__) from it
+
+    async def read_answer(self):
+        status = int((await self.reader.readline()).split()[1])
+        length = 0
+        while line := (await self.reader.readline()).strip():
+            name, value = line.decode().split(":", 1)
+            if name.lower() == "content-length":
+                length = int(value)
+        text = await self.reader.readexactly(length)
+        return status, json.loads(text) if text else {}
+
+
 async def call(host, port, method, path, body=None, headers=(), timeout=3.0):
     """Sends one request on a new connection; returns (status, body)."""
 
     async def exchange():
-        reader, writer = await asyncio.open_connection(host, port)
+        connection = await Connection.open(host, port)
         try:
-            data = json.dumps(body).encode() if body is not None else b""
-            lines = [f"{method} {path} HTTP/1.1", f"Host: soak.example",
-                     f"Content-Length: {len(data)}",
-                     "Content-Type: application/json", *headers]
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + data)
-            status = int((await reader.readline()).split()[1])
-            length = 0
-            while line := (await reader.readline()).strip():
-                name, value = line.decode().split(":", 1)
-                if name.lower() == "content-length":
-                    length = int(value)
-            text = await reader.readexactly(length)
-            return status, json.loads(text) if text else {}
+            return await connection.ask(method, path, body, headers)
         finally:
-            writer.close()
+            connection.close()
 
     return await asyncio.wait_for(exchange(), timeout)
