Poison jobs in the soak and check that healthy ones run

Change: 4 in 100 jobs always fail, 85 in 100 during floods of 2 to 5 s. A healthy job that has nothing running for 5 s in a cell more than half free is a violation, 10 s after the last fault, as is a job that is shown as failed before a task of it has failed as often as its queue has attempts.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -9,6 +9,8 @@
 import time
 
 PATH_FAULTS = ["refuse", "reset", "one_way"]
+FLOOD_SHARE = 0.85
+POISONED_SHARE = 0.04
 
 
 class ActiveFaults:
@@ -37,13 +39,22 @@
 
 
 class SecondFaults:
-    """Injects faults of network paths and planned stops of all daemons."""
+    """Injects faults of network paths and floods of poisoned
+    jobs."""
 
     def __init__(self, soak):
         self.soak = soak
         self.random = random.Random(f"second-{soak.options.seed}")
+        self.poison_random = random.Random(f"poison-{soak.options.seed}")
+        self.flood_until = 0
         self.calm_follows = self.random.random() < 0.5
 
+    def poisons(self):
+        """Decides whether the tasks of the next job always fail."""
+        flood = time.monotonic() < self.flood_until
+        return self.poison_random.random() < (FLOOD_SHARE if flood
+                                              else POISONED_SHARE)
+
     async def path_fault(self):
         it = self.random.choice(self.soak.workers)
         kind = self.random.choice(PATH_FAULTS)
@@ -56,6 +67,12 @@
             await asyncio.sleep(length)
             await it.mend_path()
 
+    async def flood(self):
+        length = self.random.uniform(2, 5)
+        self.soak.log_fault("poisoned jobs", "load", "flood", length)
+        self.flood_until = time.monotonic() + length
+        await asyncio.sleep(length)
+
     async def roll(self):
         """Stops all daemons as planned: one after another, or at once, and
         then none starts before all are gone."""
@@ -75,13 +92,17 @@
             await asyncio.gather(*stops)
 
     async def inject(self, until):
+        faults = [self.path_fault, self.path_fault, self.flood]
         while time.monotonic() < until:
             await asyncio.sleep(self.random.expovariate(0.6))
-            self.soak.spawn(self.path_fault())
+            self.soak.spawn(self.random.choice(faults)())
 
-    async def calm(self):
-        """Only planned stops, so that the check applies that other faults
-        suspend."""
+    async def calm(self, length):
+        """Only planned stops and then poisoned jobs, so that the checks apply
+        which other faults suspend."""
         while self.soak.faults_active.quiet_since() == math.inf:
             await asyncio.sleep(0.1)
         await self.roll()
+        until = time.monotonic() + length
+        while time.monotonic() < until:
+            await self.flood()
--- a/testing/soak/hosted_soak.py
+++ b/testing/soak/hosted_soak.py
@@ -20,8 +20,9 @@
 
 import http_stub
 from faults import ActiveFaults, SecondFaults
+from idle_check import IdleCheck
 from store import Store
-from workers import Promises, Worker, serve_advice
+from workers import ATTEMPTS, Promises, Worker, serve_advice
 
 HOST = "127.0.0.1"
 ZONES = ["north", "south", "east"]
@@ -31,6 +32,9 @@
 # the maximum lease, a leader election and the work itself.
 FINISH_TIMEOUT_S = 30
 CALL_TIMEOUT_S = 3.5
+# Time without faults after the last planned stop: in its second half the check
+# of waiting jobs applies.
+CALM_S = 20
 STORE_FAULTS = ["busy", "reset", "unresponsive", "slow", "lost", "late"]
 
 
@@ -157,10 +161,12 @@
     def configure(self):
         routes = [{"name": "plain", "host": "soak.example",
                    "path_prefix": "/plain/", "service": "s", "priority": 1,
-                   "attempts": 4, "stretch": 3, "target_latency_ms": 2000},
+                   "attempts": ATTEMPTS, "stretch": 3,
+                   "target_latency_ms": 2000},
                   {"name": "asked", "host": "soak.example",
                    "path_prefix": "/asked/", "service": "s", "priority": 0,
-                   "attempts": 4, "stretch": 3, "target_latency_ms": 1000,
+                   "attempts": ATTEMPTS, "stretch": 3,
+                   "target_latency_ms": 1000,
                    "advice": {"decide_ms": 10, "period_ms": 0.5,
                               "valid_ms": 2500}}]
         tenants = [{"name": "a", "api_keys": ["k-a"], "weight": 50},
@@ -198,8 +204,8 @@
         return {"key": key, "account": KEYS[key], "steps": steps,
                 "spec": f"spec-{self.random.random()}", "refused": False,
                 "maybe_accepted": False, "accepted": False,
-                "cancelled": False, "queue": self.random.choice(
-                    ["plain", "asked"])}
+                "cancelled": False, "poisoned": self.second.poisons(),
+                "queue": self.random.choice(["plain", "asked"])}
 
     async def call(self, method, name, body=None):
         daemon = random.choice(self.daemons)
@@ -287,14 +293,16 @@
         state = body.get("state") if status == 200 else None
         if state == "completed":
             job["shown"] = state
-            for step, it in enumerate(job["steps"]):
-                for index in range(it["count"]):
-                    task = f"{name}.0.{step}.{index}"
-                    if task not in self.promises.done:
-                        self.promises.violate(f"MIXED {name} is completed, "
-                                              f"{task} has not finished")
+            for task in self.promises.tasks_of(name):
+                if task not in self.promises.done:
+                    self.promises.violate(f"MIXED {name} is completed, "
+                                          f"{task} has not finished")
         if state in ("failed", "cancelled"):
             job["shown"] = state
+            most = self.promises.most_failures(name)
+            if state == "failed" and most < ATTEMPTS:
+                self.promises.violate(f"LOST {name} is failed, no task of it "
+                                      f"has failed more than {most} times")
             if state == "cancelled" and not job["cancelled"]:
                 self.promises.violate(f"LOST {name} has state cancelled")
 
@@ -397,12 +405,14 @@
         await self.start()
         await asyncio.sleep(2)
         until = time.monotonic() + self.options.seconds
-        observers = [asyncio.ensure_future(KeptClient(self, it).run())
-                     for it in self.daemons * 3]
+        idle_check = IdleCheck(self.promises, self.workers, self.faults_active)
+        observers = [asyncio.ensure_future(it.run()) for it in
+                     [idle_check, *(KeptClient(self, it)
+                                    for it in self.daemons * 3)]]
         load = asyncio.ensure_future(self.send_jobs())
         await asyncio.gather(self.inject(until), self.second.inject(until))
         if self.second.calm_follows:
-            await self.second.calm()
+            await self.second.calm(CALM_S)
         self.sending = False
         await load
         deadline = time.monotonic() + FINISH_TIMEOUT_S
--- a/testing/soak/workers.py
+++ b/testing/soak/workers.py
@@ -2,6 +2,7 @@
 promises at task start and end."""
 
 import asyncio
+import collections
 import datetime
 import random
 import time
@@ -10,7 +11,10 @@
 from http_stub import Withhold, serve
 
 STOP_TIME_S = 0.3
+POISONED_RUN_S = 0.3
 MAX_LEASE_MS = 6000
+# Of the queues' tasks, before their job has failed.
+ATTEMPTS = 4
 CPU = 8000
 
 
@@ -24,6 +28,7 @@
         self.done = set()
         self.acked_done = set()
         self.accounts = {}
+        self.failures = collections.Counter()
         self.starts = 0
 
     def violate(self, text):
@@ -35,6 +40,22 @@
         job, _, step, _ = task.split(".")
         return self.jobs[job]["steps"][int(step)]
 
+    def tasks_of(self, name):
+        return [f"{name}.0.{step}.{index}"
+                for step, it in enumerate(self.jobs[name]["steps"])
+                for index in range(it["count"])]
+
+    def most_failures(self, name):
+        return max(self.failures[it] for it in self.tasks_of(name))
+
+    def can_finish(self, name):
+        """Whether work of an accepted job is left that can succeed."""
+        job = self.jobs[name]
+        return (job["accepted"] and not job["poisoned"] and
+                not job["cancelled"] and not job.get("shown") and
+                self.most_failures(name) < ATTEMPTS and
+                not self.done.issuperset(self.tasks_of(name)))
+
     def used(self, account):
         return sum(self.step_of(task)["cpu"] for task in self.running
                    if self.jobs[task.split(".")[0]]["account"] == account)
@@ -70,6 +91,8 @@
                 del self.running[task]
         if how == "done":
             self.done.add(task)
+        if how == "failed":
+            self.failures[task] += 1
 
 
 class Worker:
@@ -171,8 +194,11 @@
                 f"LIMIT {body['task']} on {self.id}: {used} + {step['cpu']}")
         self.promises.started(self, body["task"], body["run"], body["spec"])
         how = "failed" if random.random() < 0.03 else "done"
+        run_s = step["run_s"]
+        if self.promises.jobs[body["task"].split(".")[0]]["poisoned"]:
+            how, run_s = "failed", min(run_s, POISONED_RUN_S)
         self.runs[key] = {"cpu": step["cpu"], "how": how,
-                          "ends": time.monotonic() + step["run_s"]}
+                          "ends": time.monotonic() + run_s}
         return 200, self.stamp({})
 
     def stop_run(self, body):
