Write odd registry entries beside good ones in the soak

Change: rows with a field missing, port 0, 1e300, deep nesting or no JSON. The address of the otherwise complete ones is a listener; a call to it is UNASKED.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -3,11 +3,14 @@
 
 import asyncio
 import contextlib
+import json
 import math
 import random
 import signal
 import time
 
+from http_stub import serve
+
 PATH_FAULTS = ["refuse", "reset", "one_way"]
 FLOOD_SHARE = 0.85
 POISONED_SHARE = 0.04
@@ -38,12 +41,65 @@
                    for it in kinds or self.KINDS)
 
 
+class OddEntries:
+    """Registry entries that name no usable worker. Some have the address of a
+    listener, on which no daemon may call."""
+
+    def __init__(self, host, port, store, promises):
+        self.host = host
+        self.port = port
+        self.store = store
+        self.promises = promises
+
+    async def listen(self):
+        async def handle(request):
+            self.promises.violate(f"UNASKED {request.path} to the address of "
+                                  f"an odd registry entry")
+            return 404, {}
+
+        return await serve(self.host, self.port, handle)
+
+    def good_entry(self):
+        return {"service": "s", "address": f"{self.host}:{self.port}",
+                "zone": "north", "version": "1", "slots": 8, "state": "ready",
+                "cold_remaining_ms": 0, "sequence": 1, "born": 1,
+                "capacity": {"cpu": 8000, "mem_mb": 16000, "gpus": 0},
+                "labels": ["a", "r1"]}
+
+    def make(self, generator):
+        """Returns the kind and the value of a row."""
+        entry = self.good_entry()
+        kind = generator.choice(["missing", "port", "huge", "nested", "text"])
+        if kind == "missing":
+            del entry[generator.choice(["service", "address", "zone", "state",
+                                        "capacity"])]
+        elif kind == "port":
+            entry["address"] = f"{self.host}:0"
+        elif kind == "huge":
+            huge = generator.choice([1e300, -1e300])
+            if generator.random() < 0.5:
+                entry["capacity"]["cpu"] = huge
+            else:
+                entry["born"] = huge
+        elif kind == "nested":
+            return kind, b'{"capacity":' * 20_000
+        else:
+            return kind, b"\xff\x00 not JSON"
+        return kind, json.dumps(entry).encode()
+
+    def write(self, key, generator):
+        kind, value = self.make(generator)
+        self.store.put_bytes("servers", key, value)
+        return kind
+
+
 class SecondFaults:
-    """Injects faults of network paths and floods of poisoned
-    jobs."""
+    """Injects faults of network paths, floods of poisoned jobs and odd
+    registry entries."""
 
-    def __init__(self, soak):
+    def __init__(self, soak, odd_entries):
         self.soak = soak
+        self.odd = odd_entries
         self.random = random.Random(f"second-{soak.options.seed}")
         self.poison_random = random.Random(f"poison-{soak.options.seed}")
         self.flood_until = 0
@@ -67,6 +123,16 @@
             await asyncio.sleep(length)
             await it.mend_path()
 
+    async def odd_entries(self):
+        length = self.random.uniform(0.5, 7)
+        keys = [f"odd-{self.random.randrange(10**6)}"
+                for _ in range(self.random.randint(1, 4))]
+        kinds = [self.odd.write(it, self.random) for it in keys]
+        self.soak.log_fault("odd entries", "registry", ",".join(kinds), length)
+        await asyncio.sleep(length)
+        for it in keys:
+            self.soak.store.drop("servers", it)
+
     async def flood(self):
         length = self.random.uniform(2, 5)
         self.soak.log_fault("poisoned jobs", "load", "flood", length)
@@ -92,17 +158,19 @@
             await asyncio.gather(*stops)
 
     async def inject(self, until):
-        faults = [self.path_fault, self.path_fault, self.flood]
+        faults = [self.path_fault, self.path_fault, self.odd_entries,
+                  self.flood]
         while time.monotonic() < until:
             await asyncio.sleep(self.random.expovariate(0.6))
             self.soak.spawn(self.random.choice(faults)())
 
     async def calm(self, length):
-        """Only planned stops and then poisoned jobs, so that the checks apply
-        which other faults suspend."""
+        """Only planned stops and then poisoned jobs and odd entries, so that
+        the checks apply which other faults suspend."""
         while self.soak.faults_active.quiet_since() == math.inf:
             await asyncio.sleep(0.1)
         await self.roll()
         until = time.monotonic() + length
         while time.monotonic() < until:
-            await self.flood()
+            await self.random.choice([self.flood, self.flood,
+                                      self.odd_entries])()
--- a/testing/soak/hosted_soak.py
+++ b/testing/soak/hosted_soak.py
@@ -19,7 +19,7 @@
 import time
 
 import http_stub
-from faults import ActiveFaults, SecondFaults
+from faults import ActiveFaults, OddEntries, SecondFaults
 from idle_check import IdleCheck
 from store import Store
 from workers import ATTEMPTS, Promises, Worker, serve_advice
@@ -150,9 +150,11 @@
             Worker(f"w-{it}", HOST, port, ZONES[it % len(ZONES)],
                    self.promises, self.store)
             for it, port in enumerate(ports.take(options.workers))]
+        self.odd_entries = OddEntries(HOST, ports.take(1)[0], self.store,
+                                      self.promises)
         self.faults = 0
         self.faults_active = ActiveFaults()
-        self.second = SecondFaults(self)
+        self.second = SecondFaults(self, self.odd_entries)
         self.sending = True
         # Ends the callers; wait_for() may swallow their cancellation.
         self.over = False
@@ -178,6 +180,7 @@
 
     async def start(self):
         self.configure()
+        await self.odd_entries.listen()
         for it in self.workers:
             await it.listen()
         for it in self.daemons:
--- a/testing/soak/store.py
+++ b/testing/soak/store.py
@@ -26,7 +26,10 @@
 
     def put(self, table, key, value):
         """Writes a row on behalf of the operator or a worker."""
-        text = base64.b64encode(json.dumps(value).encode()).decode()
+        self.put_bytes(table, key, json.dumps(value).encode())
+
+    def put_bytes(self, table, key, value):
+        text = base64.b64encode(value).decode()
         self.commit([{"table": table, "part": "", "key": key, "value": text}],
                     [])
 
