--- a/testing/soak/workers.py
+++ b/testing/soak/workers.py
@@ -2,6 +2,8 @@
 promises at task start and end."""
 
 import asyncio
+import collections
+import datetime
 import random
 import time
 import zlib
@@ -9,7 +11,10 @@
 from http_stub import Withhold, serve
 
 STOP_TIME_S = 0.3
+POISONED_RUN_S = 0.3
 MAX_LEASE_MS = 6000
+# Of the queues' tasks, before their job has failed.
+ATTEMPTS = 4
 CPU = 8000
 
 
@@ -23,16 +28,34 @@
         self.done = set()
         self.acked_done = set()
         self.accounts = {}
+        self.failures = collections.Counter()
         self.starts = 0
 
     def violate(self, text):
         self.violations.append(text)
-        print("VIOLATION", text, flush=True)
+        now = datetime.datetime.now(datetime.timezone.utc)
+        print("VIOLATION", text, now.strftime("at %H:%M:%S.%f"), flush=True)
 
     def step_of(self, task):
         job, _, step, _ = task.split(".")
         return self.jobs[job]["steps"][int(step)]
 
+    def tasks_of(self, name):
+        return [f"{name}.0.{step}.{index}"
+                for step, it in enumerate(self.jobs[name]["steps"])
+                for index in range(it["count"])]
+
+    def most_failures(self, name):
+        return max(self.failures[it] for it in self.tasks_of(name))
+
+    def can_finish(self, name):
+        """Whether work of an accepted job is left that can succeed."""
+        job = self.jobs[name]
+        return (job["accepted"] and not job["poisoned"] and
+                not job["cancelled"] and not job.get("shown") and
+                self.most_failures(name) < ATTEMPTS and
+                not self.done.issuperset(self.tasks_of(name)))
+
     def used(self, account):
         return sum(self.step_of(task)["cpu"] for task in self.running
                    if self.jobs[task.split(".")[0]]["account"] == account)
@@ -68,6 +91,8 @@
                 del self.running[task]
         if how == "done":
             self.done.add(task)
+        if how == "failed":
+            self.failures[task] += 1
 
 
 class Worker:
@@ -81,6 +106,10 @@
         self.promises = promises
         self.store = store
         self.fault = None
+        # Fault of the network path: "refuse", "reset", "one_way" or None. The
+        # worker's own state does not depend on it.
+        self.path = None
+        self.listener = None
         self.up = False
         self.sequence = 0
         self.start_incarnation()
@@ -165,8 +194,11 @@
                 f"LIMIT {body['task']} on {self.id}: {used} + {step['cpu']}")
         self.promises.started(self, body["task"], body["run"], body["spec"])
         how = "failed" if random.random() < 0.03 else "done"
+        run_s = step["run_s"]
+        if self.promises.jobs[body["task"].split(".")[0]]["poisoned"]:
+            how, run_s = "failed", min(run_s, POISONED_RUN_S)
         self.runs[key] = {"cpu": step["cpu"], "how": how,
-                          "ends": time.monotonic() + step["run_s"]}
+                          "ends": time.monotonic() + run_s}
         return 200, self.stamp({})
 
     def stop_run(self, body):
@@ -228,12 +260,28 @@
             response = 404, {}
         if late or incarnation != self.incarnation:
             raise Withhold
+        if self.path == "one_way":
+            await asyncio.sleep(4)
+            raise Withhold
         return response
 
     async def listen(self):
         asyncio.ensure_future(self.tick())
         asyncio.ensure_future(self.announce())
-        return await serve(self.host, self.port, self.handle)
+        self.listener = await serve(self.host, self.port, self.handle)
+
+    def break_path(self, kind):
+        self.path = kind
+        if kind == "refuse":
+            self.listener.close()
+        if kind == "reset":
+            self.listener.resets = True
+            self.listener.reset_connections()
+
+    async def mend_path(self):
+        self.path = None
+        self.listener.resets = False
+        await self.listener.open()
 
 
 async def serve_advice(host, port):
