--- a/include/mustardwick/aio/http_channel.hpp
+++ b/include/mustardwick/aio/http_channel.hpp
@@ -82,6 +82,10 @@
     /// without being sent.
     void close();
 
+    /// @brief Returns whether the next call finds an idle connection, so that
+    /// it reaches the process that answered the last one.
+    bool has_idle_connection();
+
     std::uint64_t connections_opened() const
     {
         return connections_opened_;
--- a/src/mustardwick/aio/http_channel.cpp
+++ b/src/mustardwick/aio/http_channel.cpp
@@ -1,5 +1,6 @@
 #include "mustardwick/aio/http_channel.hpp"
 
+#include <algorithm>
 #include <cerrno>
 #include <optional>
 
@@ -262,6 +263,15 @@
     }
 }
 
+bool http_channel::has_idle_connection()
+{
+    return std::any_of(idle_.begin(), idle_.end(),
+                       [](const auto& it)
+                       {
+                           return it->is_usable();
+                       });
+}
+
 void http_channel::drop_idle()
 {
     for (const auto& it : idle_)
