Answer requests that have arrived when connections are closed

Cause: a shutdown closes idle connections, and one whose request stood in the socket's buffer counted as idle; connections that were established and not yet accepted were reset with the acceptor. The process could exit in the same turn. Change: the listener accepts what is established, spares connections with unread bytes and new ones for 0.3 s, and the daemon exits once no connection is open. Test: http_listener.answers_requests_that_arrived_before_it_closes.

--- a/include/mustardwick/aio/http_listener.hpp
+++ b/include/mustardwick/aio/http_listener.hpp
@@ -75,9 +75,16 @@
     /// @brief Makes every later answer close its connection.
     void begin_drain();
 
-    /// @brief Stops accepting and closes idle connections.
+    /// @brief Accepts the connections that are already established, stops
+    /// accepting, and closes idle connections.
+    ///
+    /// A connection with a request that is not read yet is not idle, and
+    /// neither is a new one before its first request may have arrived.
     void close_idle();
 
+    /// @brief Returns whether all connections are closed.
+    bool is_closed() const;
+
     /// @brief Returns the number of requests received and not yet answered.
     std::size_t open_requests() const;
 
--- a/src/mustardwick/aio/http_listener.cpp
+++ b/src/mustardwick/aio/http_listener.cpp
@@ -29,6 +29,8 @@
 
 /// Timeout for writing an answer to the client.
 constexpr milliseconds write_timeout{5000};
+/// Time in which the first request of a new connection arrives.
+constexpr milliseconds first_request_delay{300};
 
 std::string text_of(boost::beast::string_view text)
 {
@@ -79,6 +81,9 @@
     }
 
     void accept();
+    void accepted(error_code ec, asio::ip::tcp::socket socket);
+    /// Accepts the connections that wait to be accepted.
+    void accept_established();
 
     asio::io_context& io;
     wire::endpoint address;
@@ -124,6 +129,16 @@
         return busy_;
     }
 
+    /// Returns whether no request is in progress, in the socket's buffer, or
+    /// about to arrive on a new connection.
+    bool is_idle()
+    {
+        error_code ec;
+        const bool is_new =
+            !served_ && steady::now() - accepted_ < first_request_delay;
+        return !busy_ && !is_new && stream_.socket().available(ec) == 0;
+    }
+
     void close()
     {
         idle_timer_.reset();
@@ -189,6 +204,7 @@
         out.received = steady::now();
         ++owner_->open_requests;
         answered_ = false;
+        served_ = true;
         handle(std::move(out));
     }
 
@@ -270,8 +286,36 @@
     bool keep_alive_ = true;
     bool busy_ = false;
     bool answered_ = false;
+    /// A request was received.
+    bool served_ = false;
+    steady::time_point accepted_ = steady::now();
 };
 
+void http_listener::impl::accepted(error_code ec, asio::ip::tcp::socket socket)
+{
+    if (ec || sessions.size() >= limits.max_connections)
+        return base::log_event(
+            base::log_level::warning, "listener", "connection_refused",
+            {{"reason", ec ? ec.message() : "too many connections"}});
+    set_low_latency(socket);
+    auto it = std::make_shared<session>(shared_from_this(), std::move(socket));
+    sessions.insert(it);
+    it->wait_for_request();
+}
+
+void http_listener::impl::accept_established()
+{
+    error_code ec;
+    acceptor.non_blocking(true, ec);
+    while (!ec)
+    {
+        asio::ip::tcp::socket socket(io);
+        acceptor.accept(socket, ec);
+        if (!ec)
+            accepted(ec, std::move(socket));
+    }
+}
+
 void http_listener::impl::accept()
 {
     acceptor.async_accept(
@@ -279,17 +323,7 @@
         {
             if (ec == asio::error::operation_aborted)
                 return;
-            if (!ec && self->sessions.size() < self->limits.max_connections)
-            {
-                set_low_latency(socket);
-                auto it = std::make_shared<session>(self, std::move(socket));
-                self->sessions.insert(it);
-                it->wait_for_request();
-            }
-            else
-                base::log_event(
-                    base::log_level::warning, "listener", "connection_refused",
-                    {{"reason", ec ? ec.message() : "too many connections"}});
+            self->accepted(ec, std::move(socket));
             self->accept();
         });
 }
@@ -305,7 +339,12 @@
 
 http_listener::~http_listener()
 {
-    close_idle();
+    error_code ec;
+    impl_->acceptor.close(ec);
+    const auto sessions = impl_->sessions;
+    for (const auto& it : sessions)
+        if (!it->is_busy())
+            it->close();
 }
 
 bool http_listener::start()
@@ -329,13 +368,20 @@
 void http_listener::close_idle()
 {
     error_code ec;
+    if (impl_->acceptor.is_open())
+        impl_->accept_established();
     impl_->acceptor.close(ec);
     const auto sessions = impl_->sessions;
     for (const auto& it : sessions)
-        if (!it->is_busy())
+        if (it->is_idle())
             it->close();
 }
 
+bool http_listener::is_closed() const
+{
+    return impl_->sessions.empty();
+}
+
 std::size_t http_listener::open_requests() const
 {
     return impl_->open_requests;
--- /dev/null
+++ b/src/mustardwick/aio/http_listener_test.cpp
@@ -0,0 +1,79 @@
+#include "mustardwick/aio/http_listener.hpp"
+
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+#include "mustardwick/base/log.hpp"
+
+using namespace mustardwick;
+using namespace mustardwick::aio;
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+struct close_case
+{
+    const char* name;
+    /// Requests that were answered on the connection before.
+    int earlier;
+    std::uint16_t port;
+};
+
+/// Returns whether the connection has received a whole response.
+bool is_answered(asio::io_context& io, asio::ip::tcp::socket& socket)
+{
+    std::string text;
+    bool answered = false;
+    asio::async_read_until(socket, asio::dynamic_buffer(text), "{}",
+                           [&](boost::system::error_code ec, std::size_t)
+                           {
+                               answered = !ec;
+                               io.stop();
+                           });
+    io.restart();
+    io.run_for(milliseconds(1000));
+    return answered;
+}
+
+} // namespace
+
+// Guards against a shutdown that drops a request which the host has received,
+// on a kept connection or on one that waits to be accepted (hosted-soak seeds
+// 338 and 350).
+Test(http_listener, answers_requests_that_arrived_before_it_closes)
+{
+    base::set_up_log("test", base::log_level::error);
+    const close_case cases[] = {{"kept connection", 1, 18'761},
+                                {"connection not accepted yet", 0, 18'763}};
+    for (const auto& it : cases)
+    {
+        asio::io_context io;
+        const wire::endpoint where{"127.0.0.1", it.port};
+        http_listener server(io, where, "Deadline-Ms",
+                             [](const auto&, const auto& respond)
+                             {
+                                 respond({200, "{}", "application/json", {}});
+                             });
+        cr_assert(server.start());
+        asio::ip::tcp::socket client(io);
+        client.connect({asio::ip::make_address("127.0.0.1"), it.port});
+        for (int n = 0; n < it.earlier; ++n)
+        {
+            asio::write(client, asio::buffer(request));
+            cr_assert(is_answered(io, client), "%s", it.name);
+        }
+        asio::write(client, asio::buffer(request));
+        server.begin_drain();
+        server.close_idle();
+        cr_assert(is_answered(io, client), "%s", it.name);
+        cr_assert(server.is_closed(), "%s", it.name);
+    }
+}
--- a/src/mustardwick/entry/entry_node.cpp
+++ b/src/mustardwick/entry/entry_node.cpp
@@ -274,7 +274,7 @@
     const auto now = clock.now();
     if (now >= earliest)
         callers->close_idle();
-    const bool idle = callers->open_requests() == 0 && !leader;
+    const bool idle = callers->is_closed() && !leader;
     if ((now >= earliest && idle) || now >= latest)
     {
         log_event(log_level::info, "daemon", "stopped",
