Find ports beyond a block that other programs use

Cause: find_free_port looked only in the block of 50 ports that the process id chose, and the soak's stand-ins listened in it. Change: it goes on to the next blocks. Test: ports.are_found_beyond_a_used_block, red before.

--- a/testing/scenario/scenario_test.cpp
+++ b/testing/scenario/scenario_test.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 #include <sys/socket.h>
 
+#include "testing/scenario/socket.hpp"
 #include "testing/scenario/statement.hpp"
 #include "testing/scenario/tcp_relay.hpp"
 #include "testing/scenario/udp_relay.hpp"
@@ -122,3 +123,12 @@
            size);
     cr_assert_eq(receive_text(client, receive_timeout_ms), "answer");
 }
+
+// Guards against a scenario that fails because other programs use all ports of
+// its first block.
+Test(ports, are_found_beyond_a_used_block)
+{
+    constexpr int more_than_a_block = 60;
+    for (int n = 0; n < more_than_a_block; ++n)
+        cr_assert(find_free_port().has_value(), "%d", n);
+}
--- a/testing/scenario/socket.cpp
+++ b/testing/scenario/socket.cpp
@@ -83,14 +83,16 @@
 
 std::optional<std::uint16_t> find_free_port()
 {
-    // Each runner uses a block of ports chosen by its process id, so that
-    // concurrent runners rarely compete for the same ports.
-    static const int first =
-        min_port + getpid() % port_blocks * ports_per_block;
+    // Each runner begins with a block of ports chosen by its process id, so
+    // that concurrent runners rarely compete for the same ports. Other programs
+    // may use all ports of a block.
+    constexpr int ports = port_blocks * ports_per_block;
+    static const int first = getpid() % port_blocks * ports_per_block;
     static int used = 0;
-    while (used < ports_per_block)
+    while (used < ports)
     {
-        const auto port = static_cast<std::uint16_t>(first + used++);
+        const auto port =
+            static_cast<std::uint16_t>(min_port + (first + used++) % ports);
         const bool is_free = bind_loopback(socket_kind::tcp, port).is_open() &&
                              bind_loopback(socket_kind::udp, port).is_open();
         if (is_free)
