--- a/src/mustardwick/entry/worker_links_test.cpp
+++ b/src/mustardwick/entry/worker_links_test.cpp
@@ -1,9 +1,5 @@
 #include "mustardwick/entry/worker_links.hpp"
 
-#include <memory>
-#include <string>
-#include <vector>
-
 #include <boost/asio/ip/tcp.hpp>
 #include <criterion/criterion.h>
 
@@ -168,42 +164,3 @@
     links->stop();
     io.run_for(milliseconds(10));
 }
-
-// Guards against a restarted worker that discards ends which were never
-// applied, because a renewal acknowledged the ends of its former incarnation: a
-// finished task runs again (hosted-soak seed 310).
-Test(worker_links, acknowledges_ends_only_to_the_process_that_reported_them)
-{
-    planner_fixture cell(1);
-    cell.submit(make_job("j", "plain", {make_step(1, 1)}));
-    cell.run_round();
-    boost::asio::io_context io;
-    const wire::endpoint address{"127.0.0.1", 27439};
-    std::vector<std::string> bodies;
-    const auto answer = [&](const auto& request, auto respond)
-    {
-        bodies.push_back(request.body);
-        respond({200, report_of_an_end(cell), "application/json", {}});
-    };
-    auto worker = std::make_unique<aio::http_listener>(io, address, "", answer);
-    cr_assert(worker->start(), "%s", base::last_error().text().c_str());
-    const auto links = make_links(io, cell);
-    jobs::worker_info info;
-    info.id = "w0";
-    info.address = address;
-    links->listed(info);
-    io.run_for(milliseconds(200));
-    cell.commit();
-    io.run_for(milliseconds(200));
-    cr_assert(bodies.back().find(R"("ack_cursor":1)") != std::string::npos);
-    worker.reset();
-    worker = std::make_unique<aio::http_listener>(io, address, "", answer);
-    cr_assert(worker->start(), "%s", base::last_error().text().c_str());
-    bodies.clear();
-    io.run_for(milliseconds(1500));
-    cr_assert(!bodies.empty());
-    cr_assert(bodies.front().find(R"("ack_cursor":0)") != std::string::npos,
-              "%s", bodies.front().c_str());
-    links->stop();
-    io.run_for(milliseconds(10));
-}
