--- a/review/common/cell.py
+++ b/review/common/cell.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -29,6 +30,7 @@
 ROW_BYTES = 65_536
 MAX_ENTRIES = 100
 MAX_LEASE_MS = 6000
+TAKEN = set()
 BOUNDS = {
     "seed_lag_s": 3, "reuse_after_s": 2, "stable_ms": 3000, "ack_ms": 4000,
     "catch_up_s": 4, "drain_ms": 2000, "grace_s": 6, "loss_slack_ms": 200,
@@ -98,12 +100,19 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for it in sockets:
-        it.bind((HOST, 0))
-    out = [it.getsockname()[1] for it in sockets]
-    for it in sockets:
-        it.close()
+    """Free ports below the ephemeral range, so that no outgoing connection takes
+    them before they are listened on."""
+    out = []
+    while len(out) < count:
+        port = random.randrange(12_000, 32_000)
+        with socket.socket() as it:
+            try:
+                it.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in TAKEN:
+            TAKEN.add(port)
+            out.append(port)
     return out
 
 
