--- a/review/common/cell.py
+++ b/review/common/cell.py
@@ -161,8 +161,8 @@
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *self.command, cwd=ROOT, stdout=log, stderr=log,
-                env={"PATH": os.environ["PATH"],
-                     "HOME": os.environ.get("HOME", "/tmp"),
+                env={**{it: os.environ[it] for it in ("PATH", "HOME")
+                        if it in os.environ},
                      "MUSTARDWICK_SETTINGS": str(self.settings)})
         self.cell.record.write(self.name, "started")
 
