--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,7 @@
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 import cell as base  # noqa: E402
 
--- a/review/common/cell.py
+++ b/review/cell.py
@@ -18,7 +18,7 @@
 import tempfile
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT / "testing" / "soak"))
 
 import http_stub  # noqa: E402
@@ -498,8 +498,9 @@
 
 
 def play(folder, scenario, **options):
-    """Runs a scenario and exits with its result."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    """Runs a scenario and exits with its result. The first argument, from
+    run.sh, is 0 for a run without the disruption."""
+    trouble = sys.argv[1] != "0"
 
     async def run():
         cell = Cell(folder, **options)
