Let no job's state outgrow a row, and no rejected row stop other jobs

Cause: the progress of a job was one row with all its open occurrences. At 66,548 bytes the store answered 400. state_log sent the same transaction for ever, the leader took that for a store that fails for it alone and handed over, and each successor built the same transaction from the same rows.

Evidence: on 118 store_failing lines, all with status 400, 117 hand-overs, and every acquisition, which writes only the head row, accepted. Ruled out: a store that fails for daemons in turn (503, refused renewals) and a slow leader.

Change: progress that exceeds a row is stored in blocks of 64 tasks, written before and removed after the head that names them; a change may take several transactions. A timed job has a bounded number of open occurrences. While a transaction fails, every other copy leaves out its content; if those are accepted, the planner finds the job at fault with smaller transactions and refuses or suspends only that one. What can never be stored is answered with 413 or 400.

Why it works: no row or transaction grows with tasks, occurrences or checkpoints any more, and one that is rejected all the same is told from a failing store by a write that the store accepts.

--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -84,6 +86,15 @@
     bool specification_stored = false;
     /// The rows exist in the store.
     bool durable = false;
+    /// The tasks are stored in blocks, because one row cannot hold them.
+    bool split = false;
+    /// Blocks that the store holds, by name, with the value that was written
+    /// last; empty when it is not known.
+    std::map<std::string, std::string, std::less<>> stored_blocks;
+    /// The store rejected the job's rows; they are sent again, alone, at this
+    /// time.
+    std::optional<base::steady_time> rejected_until;
+    std::chrono::milliseconds rejection_backoff{0};
     /// Number of runs that occupy capacity on workers.
     int runs = 0;
     /// A worker has started at least one of its tasks.
@@ -94,6 +105,8 @@
     /// steps; negative while not computed.
     std::int64_t remaining_chain_ms = -1;
     bool removed = false;
+    /// It was logged that the next occurrence is due but not opened.
+    bool is_behind = false;
     /// Effects that are released once the record is durable.
     std::vector<start_order> starts;
     std::vector<uncommitted_end> ends;
--- a/include/mustardwick/dispatch/orders.hpp
+++ b/include/mustardwick/dispatch/orders.hpp
@@ -87,26 +87,4 @@
     std::vector<advice_query> queries;
 };
 
-/// @brief Durable rows of one job to write or remove.
-struct row_change
-{
-    std::string job;
-    /// Encoded jobs::job; empty when it is stored already.
-    std::string specification;
-    /// The job has ended and its specification is removed.
-    bool drop_specification = false;
-    /// Encoded jobs::job_record; empty when the rows are removed.
-    std::string progress;
-
-    /// @brief Returns the number of rows that a transaction writes or removes
-    /// for the change: two when the specification or all rows are removed,
-    /// otherwise one, also for a new job.
-    std::size_t rows() const
-    {
-        return progress.empty() || drop_specification ? max_rows_per_change : 1;
-    }
-
-    static constexpr std::size_t max_rows_per_change = 2;
-};
-
 } // namespace mustardwick::dispatch
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -15,6 +15,8 @@
 #include "mustardwick/dispatch/host_state.hpp"
 #include "mustardwick/dispatch/job_run.hpp"
 #include "mustardwick/dispatch/orders.hpp"
+#include "mustardwick/dispatch/progress_blocks.hpp"
+#include "mustardwick/dispatch/row_change.hpp"
 #include "mustardwick/jobs/configuration.hpp"
 #include "mustardwick/policy/failure_attribution.hpp"
 #include "mustardwick/policy/urgency.hpp"
@@ -37,6 +39,8 @@
     std::chrono::milliseconds stop_grace{900};
     /// How long before its due time an occurrence may start.
     std::chrono::milliseconds early_start{200};
+    /// Maximum size of the value of a stored row.
+    std::size_t max_row_bytes = 48'000;
 };
 
 /// @brief Outcome of a cancellation.
@@ -93,8 +97,13 @@
     /// @{
     void set_configuration(jobs::configuration value);
     void set_evacuated(std::set<std::string, std::less<>> failure_domains);
-    /// @brief Restores a job that a former leader persisted.
-    void restore(jobs::job specification, jobs::job_record record);
+    /// @brief Restores a job that a former leader persisted; `split` and
+    /// `blocks` tell in which rows the store holds its progress.
+    void restore(jobs::job specification, jobs::job_record record,
+                 bool split = false,
+                 std::map<std::string, std::string, std::less<>> blocks = {});
+    /// @brief Removes rows that belong to no job.
+    void discard(std::vector<row_change> removals);
     void worker_listed(const jobs::worker_info& info);
     void worker_unlisted(const std::string& id);
     void worker_reported(const std::string& id, const jobs::worker_report& it);
@@ -135,9 +144,19 @@
     /// @brief Returns the rows to write now: at most `max_rows`, and none more
     /// once `max_bytes` are reached. Empty when nothing changed or a commit is
     /// in flight.
+    ///
+    /// A change with more rows than that takes several transactions. Its rows
+    /// are in such an order that a successor can continue after each of them.
     std::vector<row_change> next_commit(std::size_t max_rows,
                                         std::size_t max_bytes);
     void commit_done();
+    /// @brief Records that the store accepts other transactions, but not the
+    /// one in flight, of which nothing was carried out.
+    ///
+    /// Smaller transactions find the job whose rows are rejected. A new job is
+    /// refused; another one is suspended and its rows are sent again, alone,
+    /// after a delay.
+    void commit_rejected();
     bool commit_in_flight() const
     {
         return committing_.has_value();
@@ -176,14 +195,26 @@
     }
 
 private:
-    /// Effects that wait for the commit in flight.
-    struct effects
+    /// Effects of a job's change; they are released when all its rows are
+    /// durable.
+    struct job_effects
     {
+        std::string job;
+        jobs::job_state state = jobs::job_state::queued;
+        bool removed = false;
+        bool specification_was_stored = false;
+        /// Blocks that the change writes or removes.
+        std::vector<std::string> blocks;
         std::vector<start_order> starts;
         std::vector<uncommitted_end> ends;
-        std::vector<std::pair<std::string, jobs::job_state>> states;
         std::vector<pending_reply> replies;
-        std::vector<std::string> removed;
+    };
+    /// A change of which some rows are not part of any transaction yet.
+    struct unfinished_change
+    {
+        std::deque<row_change> rows;
+        /// std::nullopt for rows that belong to no job.
+        std::optional<job_effects> effects;
     };
     /// Processors of a service's hosts, in millicores.
     struct processors
@@ -202,11 +233,27 @@
     job_run* find_job(const std::string& id);
     void mark_dirty(job_run& job);
     void open_occurrence(job_run& job, std::int64_t number);
+    /// @brief Returns whether the number of open tasks allows another
+    /// occurrence of a timed job.
+    static bool may_open_occurrence(const job_run& job);
     void open_due_occurrences(job_run& job);
     void close_occurrence(job_run& job, std::size_t position);
     void finish_job(job_run& job, jobs::job_state state);
     void drop_expired_jobs();
     account_usage& usage_of(const std::string& account);
+    /// @brief Removes jobs that the store does not hold and refuses their
+    /// callers.
+    void drop_unstored(const std::vector<std::string>& ids,
+                       std::string_view reason);
+
+    // planner_commits.cpp
+    unfinished_change encode_change(job_run& job);
+    /// @brief Marks a job whose change was not carried out as changed again.
+    void restore_effects(job_effects effects);
+    /// @brief Refuses or suspends the job whose rows the store rejects.
+    void isolate(job_effects effects);
+    /// @brief Lets suspended jobs whose delay has passed commit again.
+    void resume_suspended_jobs();
     void release_starts(std::vector<start_order> starts);
 
     // planner_preemption.cpp
@@ -326,6 +373,8 @@
     void query_advice(const ready_step& step, std::vector<candidate> unknown,
                       int missing);
 
+    static constexpr std::size_t max_commit_jobs = 1024;
+
     const base::clock& clock_;
     planner_options options_;
     base::metrics& metrics_;
@@ -341,7 +390,14 @@
     std::map<std::string, account_usage, std::less<>> accounts_;
     std::map<std::string, policy::allowed_share, std::less<>> allowed_share_;
     std::deque<std::string> dirty_;
-    std::optional<effects> committing_;
+    /// Effects of the transaction in flight.
+    std::optional<std::vector<job_effects>> committing_;
+    std::optional<unfinished_change> unfinished_;
+    /// Jobs whose rows the store rejects.
+    std::set<std::string> suspended_;
+    /// Maximum number of jobs in one transaction; small while a job whose rows
+    /// are rejected is searched for.
+    std::size_t max_jobs_per_commit_ = max_commit_jobs;
     orders outbox_;
     /// Usable hosts by service; valid within one round.
     std::map<std::string, std::vector<host_state*>, std::less<>> round_hosts_;
--- a/include/mustardwick/durable/rows.hpp
+++ b/include/mustardwick/durable/rows.hpp
@@ -59,6 +59,8 @@
     conflict,
     /// The store rejected the call or was not reached; nothing changed.
     refused,
+    /// The store will never accept the call, for its content; nothing changed.
+    invalid,
     /// The requested changes are older than the retained history.
     history_truncated,
     /// No reply; the call may still take effect.
--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -88,7 +88,7 @@
     void schedule_work();
     void work();
     void pump_commits();
-    void committed(bool durable);
+    void committed(log_result result);
     void check_leadership();
     void report_status();
     void step_down(std::string_view reason,
--- a/include/mustardwick/entry/job_rows.hpp
+++ b/include/mustardwick/entry/job_rows.hpp
@@ -4,9 +4,8 @@
 #include <optional>
 #include <string>
 
-#include <cereal/types/string.hpp>
-
-#include "mustardwick/dispatch/orders.hpp"
+#include "mustardwick/dispatch/progress_blocks.hpp"
+#include "mustardwick/dispatch/row_change.hpp"
 #include "mustardwick/durable/rows.hpp"
 #include "mustardwick/jobs/job.hpp"
 #include "mustardwick/jobs/record.hpp"
@@ -14,24 +13,7 @@
 namespace mustardwick::entry
 {
 
-/// @brief Row of a job as it was accepted. Later states are written to a
-/// separate row, so that an update does not rewrite the specification.
-struct job_row
-{
-    /// Encoded jobs::job.
-    std::string specification;
-    /// Encoded jobs::job_record.
-    std::string progress;
-
-    template <typename Archive>
-    void serialize(Archive& ar)
-    {
-        ar(specification, progress);
-    }
-};
-
-/// @brief Adds the row writes and removals of a job's change to a transaction;
-/// their number is row_change::rows().
+/// @brief Adds the write or the removal of a row to a transaction.
 void add_change(durable::transaction& out, dispatch::row_change change);
 
 /// @brief A job as read from its rows.
@@ -39,6 +21,19 @@
 {
     std::optional<jobs::job> specification;
     std::optional<jobs::job_record> record;
+    /// How the store holds the progress.
+    bool split = false;
+    /// Values by name. Empty for a block that is not part of the progress.
+    std::map<std::string, std::string, std::less<>> blocks;
+    /// A row of the job cannot be decoded.
+    bool unreadable = false;
+
+    /// @brief Returns whether only blocks were stored, by a leader that ended
+    /// before it stored the job.
+    bool is_orphan() const
+    {
+        return !specification && !record && !unreadable;
+    }
 };
 
 /// @brief Assembles jobs from their rows, which may be added in any order.
@@ -58,12 +53,15 @@
     {
         std::optional<jobs::job> specification;
         /// State at acceptance; superseded by a later state.
-        std::optional<jobs::job_record> accepted;
-        std::optional<jobs::job_record> latest;
+        std::optional<dispatch::progress_head> accepted;
+        std::optional<dispatch::progress_head> latest;
+        std::map<std::string, std::string, std::less<>> blocks;
         /// A row could not be decoded, so the newest state is unknown.
         bool unreadable = false;
     };
 
+    static stored_job assemble(const std::string& id, parts from);
+
     std::map<std::string, parts> jobs_;
 };
 
--- a/include/mustardwick/entry/state_log.hpp
+++ b/include/mustardwick/entry/state_log.hpp
@@ -22,7 +22,10 @@
 {
     durable,
     /// Another daemon has written the head row.
-    superseded
+    superseded,
+    /// The store rejects the transaction, but accepts one that rewrites only
+    /// the head row. Nothing of the transaction was carried out.
+    rejected
 };
 
 /// @brief Commits a sequence of transactions, one at a time. Each checks and
@@ -77,9 +80,22 @@
     }
 
 private:
+    enum class copy_kind
+    {
+        whole,
+        probe
+    };
+
     void send();
-    void answered(durable::store_reply reply, base::steady_time sent);
-    void failed(const durable::store_reply& reply, base::steady_time sent);
+    copy_kind next_copy() const;
+    void answered(durable::store_reply reply, base::steady_time sent,
+                  copy_kind copy);
+    void conflicted(const durable::store_reply& reply, base::steady_time sent);
+    void probe_succeeded(std::int64_t version, base::steady_time sent);
+    void failed(const durable::store_reply& reply, base::steady_time sent,
+                copy_kind copy);
+    void log_rejection() const;
+    void renew(std::int64_t version, base::steady_time sent);
     void record_failure(std::string_view reason);
     void resend_after(std::chrono::milliseconds delay);
     void finish(log_result result);
@@ -91,6 +107,15 @@
     head_record head_;
     std::int64_t version_;
     durable::transaction current_;
+    durable::transaction probe_;
+    std::string probe_id_;
+    /// Failed copies of the current transaction.
+    int failures_ = 0;
+    int accepted_probes_ = 0;
+    /// Why the store rejected the last whole copy.
+    std::string rejection_;
+    /// The store said that the transaction is invalid.
+    bool is_invalid_ = false;
     done_handler done_;
     base::steady_time confirmed_;
     base::steady_time started_;
--- a/src/mustardwick/dispatch/durable_state_test.cpp
+++ b/src/mustardwick/dispatch/durable_state_test.cpp
@@ -6,6 +6,22 @@
 using namespace mustardwick::dispatch;
 using namespace mustardwick::dispatch::test;
 
+namespace
+{
+
+/// Returns whether a transaction removes the row of a kind of a job.
+bool removes(const std::vector<row_change>& changes, row_kind kind,
+             std::string_view key)
+{
+    return std::any_of(changes.begin(), changes.end(),
+                       [&](const auto& it)
+                       {
+                           return it.kind == kind && it.key == key && !it.value;
+                       });
+}
+
+} // namespace
+
 // Guards against starting a run that a successor would not know of.
 Test(planner, releases_starts_only_when_durable)
 {
@@ -224,9 +240,9 @@
     cell.end(order, 1, jobs::run_outcome::done);
     const auto changes = cell.plan.next_commit(96, 600'000);
     cell.plan.commit_done();
-    cr_assert_eq(changes.size(), 1);
-    cr_assert(changes[0].drop_specification);
-    cr_assert(changes[0].specification.empty());
+    cr_assert_eq(changes.size(), 2);
+    cr_assert(removes(changes, row_kind::job, "j"));
+    cr_assert_eq(changes[0].kind, row_kind::progress);
 
     planner_fixture successor(1);
     jobs::job_record record;
@@ -250,12 +266,12 @@
     const auto changes = cell.plan.next_commit(96, 600'000);
     cell.plan.commit_done();
     cr_assert_eq(changes.size(), 1);
-    cr_assert_not(changes[0].drop_specification);
+    cr_assert_not(removes(changes, row_kind::job, "j"));
     cell.end(order, 1, jobs::run_outcome::stopped);
     const auto later = cell.plan.next_commit(96, 600'000);
     cell.plan.commit_done();
-    cr_assert_eq(later.size(), 1);
-    cr_assert(later[0].drop_specification);
+    cr_assert_eq(later.size(), 2);
+    cr_assert(removes(later, row_kind::job, "j"));
 
     // The successor charges the host for the run that the worker still lists.
     planner_fixture successor(1);
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "mustardwick/base/log.hpp"
-#include "mustardwick/wire/codec.hpp"
 
 namespace mustardwick::dispatch
 {
@@ -17,8 +16,11 @@
 
 /// Interval between sweeps for jobs whose retention has ended.
 constexpr milliseconds retention_sweep_interval{5000};
-/// Time that an order takes to reach a worker.
-constexpr milliseconds order_latency{30};
+/// A timed job whose occurrences are due faster than they end has at most this
+/// many of them, and of their tasks, open at a time; the others are opened when
+/// these end.
+constexpr std::size_t max_open_occurrences = 500;
+constexpr std::size_t max_open_tasks = 4096;
 
 std::int64_t wall_ms(const base::clock& time)
 {
@@ -91,6 +93,16 @@
     job.record.occurrences_opened = number + 1;
 }
 
+bool planner::may_open_occurrence(const job_run& job)
+{
+    const auto& open = job.record.open;
+    std::size_t tasks_each = 0;
+    for (const auto& it : job.specification.steps)
+        tasks_each += std::size_t(it.tasks);
+    return open.empty() || (open.size() < max_open_occurrences &&
+                            (open.size() + 1) * tasks_each <= max_open_tasks);
+}
+
 void planner::open_due_occurrences(job_run& job)
 {
     const auto& spec = job.specification;
@@ -98,13 +110,22 @@
         return;
     const auto now = wall_ms(clock_) + options_.early_start.count();
     auto next = job.record.occurrences_opened;
-    while (next < spec.occurrences &&
-           spec.first_due_ms + next * spec.interval_ms <= now)
+    const auto is_due = [&]
+    {
+        return next < spec.occurrences &&
+               spec.first_due_ms + next * spec.interval_ms <= now;
+    };
+    while (is_due() && may_open_occurrence(job))
     {
         open_occurrence(job, next++);
         mark_dirty(job);
         placement_due_ = true;
     }
+    if (is_due() && !std::exchange(job.is_behind, true))
+        log_event(log_level::warning, "planner", "job_behind",
+                  {{"job", spec.id},
+                   {"open_occurrences", job.record.open.size()},
+                   {"next_occurrence", next}});
 }
 
 void planner::submit(jobs::job specification, accepted done, refused on_refused)
@@ -139,7 +160,9 @@
     metrics_.add("mustardwick_jobs_submitted_total");
 }
 
-void planner::restore(jobs::job specification, jobs::job_record record)
+void planner::restore(jobs::job specification, jobs::job_record record,
+                      bool split,
+                      std::map<std::string, std::string, std::less<>> blocks)
 {
     const auto id = specification.id;
     auto& job = jobs_[id];
@@ -152,6 +175,8 @@
     job.reported_state = job.record.state;
     job.specification_stored = true;
     job.durable = true;
+    job.split = split;
+    job.stored_blocks = std::move(blocks);
     for (std::size_t it = 0; it < job.record.open.size(); ++it)
         job.steps.emplace_back(job.specification.steps.size());
     if (is_final(job.record.state))
@@ -206,6 +231,9 @@
         log_event(log_level::info, "planner", "job_cancelled", {{"job", id}});
     }
     mark_dirty(*job);
+    // The rows of a cancelled job are small.
+    if (suspended_.erase(id) > 0)
+        dirty_.push_back(id);
 }
 
 std::size_t planner::reject_unsent_jobs()
@@ -218,6 +246,13 @@
         if (!job.specification_stored && !job.durable)
             ids.push_back(id);
     }
+    drop_unstored(ids, "the store is unavailable");
+    return ids.size();
+}
+
+void planner::drop_unstored(const std::vector<std::string>& ids,
+                            std::string_view reason)
+{
     std::vector<pending_reply> replies;
     for (const auto& id : ids)
     {
@@ -231,7 +266,7 @@
         active_.erase(job.number);
         jobs_.erase(id);
         log_event(log_level::warning, "planner", "job_dropped",
-                  {{"job", id}, {"reason", "the store is unavailable"}});
+                  {{"job", id}, {"reason", reason}});
     }
     std::erase_if(dirty_,
                   [&](const std::string& id)
@@ -240,7 +275,6 @@
                   });
     for (const auto& it : replies)
         it.refused();
-    return ids.size();
 }
 
 std::optional<jobs::job_state> planner::state_of(const std::string& id) const
@@ -316,118 +350,6 @@
         close_occurrence(job, std::size_t(it - open.begin()));
 }
 
-std::vector<row_change> planner::next_commit(std::size_t max_rows,
-                                             std::size_t max_bytes)
-{
-    std::vector<row_change> out;
-    if (committing_ || dirty_.empty())
-        return out;
-    effects batch;
-    std::size_t rows = 0;
-    std::size_t bytes = 0;
-    while (!dirty_.empty() &&
-           rows + row_change::max_rows_per_change <= max_rows &&
-           bytes < max_bytes)
-    {
-        auto& job = jobs_.at(dirty_.front());
-        dirty_.pop_front();
-        job.dirty = false;
-        row_change change;
-        change.job = job.specification.id;
-        // A successor needs the sizes of runs that are still being stopped.
-        const bool final = is_final(job.record.state) && job.runs == 0;
-        if (job.removed)
-            batch.removed.push_back(job.specification.id);
-        else
-        {
-            // A successor loads only the specifications of open jobs.
-            if (final)
-                change.drop_specification = job.specification_stored;
-            else if (!job.specification_stored)
-                change.specification = wire::encode(job.specification);
-            change.progress = wire::encode(job.record);
-            job.specification_stored = !final;
-        }
-        rows += change.rows();
-        bytes += change.specification.size() + change.progress.size();
-        std::move(job.starts.begin(), job.starts.end(),
-                  std::back_inserter(batch.starts));
-        std::move(job.ends.begin(), job.ends.end(),
-                  std::back_inserter(batch.ends));
-        std::move(job.replies.begin(), job.replies.end(),
-                  std::back_inserter(batch.replies));
-        job.starts.clear();
-        job.ends.clear();
-        job.replies.clear();
-        batch.states.emplace_back(job.specification.id, job.record.state);
-        out.push_back(std::move(change));
-    }
-    committing_ = std::move(batch);
-    return out;
-}
-
-void planner::commit_done()
-{
-    auto batch = std::move(*committing_);
-    committing_.reset();
-    for (const auto& it : batch.ends)
-    {
-        const auto host = hosts_.find(it.worker);
-        if (host != hosts_.end() &&
-            host->second.incarnation_start_ms == it.worker_incarnation_start_ms)
-            host->second.uncommitted_ends.erase(it.number);
-    }
-    for (const auto& [id, state] : batch.states)
-        if (auto* job = find_job(id))
-        {
-            job->reported_state = state;
-            job->durable = true;
-        }
-    for (const auto& id : batch.removed)
-        jobs_.erase(id);
-    release_starts(std::move(batch.starts));
-    for (const auto& reply : batch.replies)
-        reply.done();
-}
-
-void planner::release_starts(std::vector<start_order> starts)
-{
-    for (auto& order : starts)
-    {
-        const auto found = hosts_.find(order.worker);
-        if (found == hosts_.end())
-            continue;
-        auto& host = found->second;
-        const auto it = host.runs.find({order.task, order.run});
-        if (it == host.runs.end() || it->second.phase != run_phase::recording)
-            continue;
-        const auto* job = find_job(order.task.job);
-        const auto queue =
-            job == nullptr
-                ? configuration_.queues.end()
-                : configuration_.queues.find(job->specification.queue);
-        // The host or the ticket may have become invalid since the host was
-        // chosen.
-        if (queue == configuration_.queues.end() ||
-            !is_usable(host, queue->second.service) ||
-            order.ticket_expires < clock_.now() + order_latency)
-        {
-            run_lost(host, it->first, "host or ticket is no longer valid");
-            continue;
-        }
-        order.deadline_ms =
-            estimated_clock(host) + options_.start_validity.count();
-        order.worker_incarnation_start_ms = host.incarnation_start_ms;
-        it->second.phase = run_phase::ordered;
-        it->second.order_expiry_ms = order.deadline_ms;
-        host.lease_bound =
-            std::max(host.lease_bound, clock_.now() +
-                                           options_.start_validity * 100 / 98 +
-                                           milliseconds(100));
-        outbox_.starts.push_back(std::move(order));
-    }
-}
-
 void planner::drop_expired_jobs()
 {
     const auto now = clock_.now();
@@ -462,6 +384,7 @@
     advice_ = advice;
     handle_expired_leases();
     drop_expired_jobs();
+    resume_suspended_jobs();
     const auto now = clock_.now();
     if ((placement_due_ && now >= earliest_placement_) ||
         now >= latest_placement_)
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -186,7 +186,8 @@
     {
         auto& job = *active;
         const auto* queue = context_of(job).queue;
-        if (queue == nullptr)
+        // No start of a suspended job can become durable.
+        if (queue == nullptr || job.rejected_until)
             continue;
         open_due_occurrences(job);
         if (job.record.open.empty())
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -43,7 +43,8 @@
 constexpr milliseconds larger_host_search_delay{1500};
 constexpr milliseconds status_interval{1000};
 /// The store accepts 100 entries and 1 MB per transaction. The head row is one
-/// entry, and base64 enlarges values by a third.
+/// entry, and base64 enlarges values by a third. The last row may exceed the
+/// limit.
 constexpr std::size_t max_rows_per_commit = 96;
 constexpr std::size_t max_bytes_per_commit = 600'000;
 
@@ -217,18 +218,21 @@
     log_->commit(std::move(changes),
                  [self = shared_from_this(), releases](log_result result)
                  {
+                     // The probe that shows a rejection releases as well.
                      self->released_ =
-                         releases && result == log_result::durable;
+                         releases && result != log_result::superseded;
                      if (!self->stopped_)
-                         self->committed(result == log_result::durable);
+                         self->committed(result);
                  });
 }
 
-void cell_leader::committed(bool durable)
+void cell_leader::committed(log_result result)
 {
-    if (!durable)
+    if (result == log_result::superseded)
         return step_down("another daemon holds leadership", {});
-    if (planner_.commit_in_flight())
+    if (planner_.commit_in_flight() && result == log_result::rejected)
+        planner_.commit_rejected();
+    else if (planner_.commit_in_flight())
         planner_.commit_done();
     // The transaction that was in flight when the release began does not
     // release leadership.
--- a/src/mustardwick/entry/cell_leader_load.cpp
+++ b/src/mustardwick/entry/cell_leader_load.cpp
@@ -73,8 +73,17 @@
 {
     std::size_t active = 0;
     auto stored = stored_.take();
+    std::vector<dispatch::row_change> orphans;
     for (auto& [id, it] : stored)
     {
+        if (it.is_orphan())
+        {
+            for (const auto& [name, value] : it.blocks)
+                orphans.push_back({dispatch::row_kind::progress,
+                                   id + dispatch::block_separator + name,
+                                   std::nullopt});
+            continue;
+        }
         if (!it.specification || !it.record)
         {
             log_event(log_level::error, "leader", "job_rows_incomplete",
@@ -82,8 +91,10 @@
             continue;
         }
         active += is_final(it.record->state) ? 0 : 1;
-        planner_.restore(std::move(*it.specification), std::move(*it.record));
+        planner_.restore(std::move(*it.specification), std::move(*it.record),
+                         it.split, std::move(it.blocks));
     }
+    planner_.discard(std::move(orphans));
     log_event(
         log_level::info, "leader", "state_loaded",
         {{"jobs", stored.size()}, {"active", active}, {"epoch", head_.epoch}});
--- a/src/mustardwick/entry/gateway.cpp
+++ b/src/mustardwick/entry/gateway.cpp
@@ -4,6 +4,7 @@
 #include <cctype>
 
 #include "mustardwick/base/error.hpp"
+#include "mustardwick/base/json.hpp"
 #include "mustardwick/base/log.hpp"
 #include "mustardwick/wire/codec.hpp"
 #include "platform/decode.hpp"
@@ -24,10 +25,14 @@
 constexpr int unauthorized = 401;
 constexpr int not_found = 404;
 constexpr int gone = 410;
+constexpr int content_too_large = 413;
 constexpr int unavailable = 503;
 constexpr int gateway_timeout = 504;
 
 constexpr std::size_t job_id_digits = 16;
+/// A job's specification and the state that it has at acceptance are one row of
+/// the store.
+constexpr std::size_t max_specification_bytes = 40'000;
 /// Time that a response needs to travel back to the caller.
 constexpr milliseconds answer_margin{150};
 /// Deadline of requests that specify none.
@@ -41,6 +46,13 @@
     return {status, std::move(body), "application/json", {}};
 }
 
+aio::outgoing_response error_response(int status, const std::string& text)
+{
+    auto body = web::json::value::object();
+    body["error"] = web::json::value::string(text);
+    return json_response(status, body.serialize());
+}
+
 aio::outgoing_response retry_later(milliseconds after)
 {
     return {unavailable, "{}", "application/json", after};
@@ -152,7 +164,8 @@
     {
         log_event(log_level::warning, "gateway", "job_refused",
                   {{"job", context.id}, {"reason", base::last_error().text()}});
-        return context.respond(json_response(bad_request));
+        return context.respond(
+            error_response(bad_request, base::last_error().text()));
     }
     job->id = context.id;
     job->queue = context.queue;
@@ -160,7 +173,20 @@
     job->arrived_ms = std::chrono::duration_cast<milliseconds>(
                           clock_.wall().time_since_epoch())
                           .count();
-    call_(message_type::submit_job, wire::encode(*job), context.deadline,
+    auto specification = wire::encode(*job);
+    if (specification.size() > max_specification_bytes)
+    {
+        log_event(log_level::warning, "gateway", "job_refused",
+                  {{"job", context.id},
+                   {"bytes", specification.size()},
+                   {"max_bytes", max_specification_bytes}});
+        return context.respond(error_response(
+            content_too_large,
+            "the job takes " + std::to_string(specification.size()) +
+                " bytes, at most " + std::to_string(max_specification_bytes) +
+                " can be stored"));
+    }
+    call_(message_type::submit_job, std::move(specification), context.deadline,
           [context](leader_result result)
           {
               if (result.reply &&
--- /dev/null
+++ b/src/mustardwick/entry/gateway_test.cpp
@@ -0,0 +1,91 @@
+#include "mustardwick/entry/gateway.hpp"
+
+#include <array>
+
+#include <criterion/criterion.h>
+
+#include "mustardwick/base/log.hpp"
+
+using namespace mustardwick;
+using namespace mustardwick::entry;
+
+namespace
+{
+
+operator_state one_public_queue()
+{
+    operator_state out;
+    auto& configuration = out.configuration.emplace();
+    configuration.version = 1;
+    jobs::queue queue;
+    queue.name = "q";
+    queue.host_name = "h";
+    queue.path_prefix = "/q/";
+    queue.service = "s";
+    queue.is_public = true;
+    configuration.queues[queue.name] = queue;
+    return out;
+}
+
+/// Steps that each depend on all earlier ones.
+std::string chained_steps(int n)
+{
+    std::string out = R"({"steps":[)";
+    std::string earlier;
+    for (int it = 0; it < n; ++it)
+    {
+        out += (it == 0 ? "" : ",") + (R"({"after":[)" + earlier + "]}");
+        earlier += (it == 0 ? "" : ",") + std::to_string(it);
+    }
+    return out + "]}";
+}
+
+} // namespace
+
+struct submit_case
+{
+    std::string body;
+    int status;
+    bool is_forwarded;
+};
+
+// Guards against callers that wait for a job that can never be stored.
+Test(gateway, refuses_jobs_that_cannot_be_stored_at_once)
+{
+    base::set_up_log("test", base::log_level::error);
+    const std::array cases = {
+        submit_case{chained_steps(20), 200, true},
+        submit_case{chained_steps(200), 413, false},
+        submit_case{R"({"steps":[]})", 400, false},
+    };
+    for (const auto& it : cases)
+    {
+        base::manual_clock clock;
+        base::metrics metrics;
+        const auto state = one_public_queue();
+        bool is_forwarded = false;
+        gateway handler(clock, metrics, state,
+                        [&](wire::message_type, const std::string&,
+                            base::steady_time, const auto& done)
+                        {
+                            is_forwarded = true;
+                            done({job_reply{reply_status::done}, true});
+                        });
+        aio::incoming_request request;
+        request.method = "POST";
+        request.host = "h";
+        request.target = "/q/0123456789abcdef";
+        request.body = it.body;
+        std::optional<aio::outgoing_response> response;
+        handler.handle(request,
+                       [&](aio::outgoing_response out)
+                       {
+                           response = std::move(out);
+                       });
+        cr_assert(response.has_value());
+        cr_assert_eq(response->status, it.status);
+        cr_assert_eq(is_forwarded, it.is_forwarded);
+        const bool explains = response->body.find("error") != std::string::npos;
+        cr_assert_eq(explains, it.status != 200);
+    }
+}
--- a/src/mustardwick/entry/head_store_test.hpp
+++ b/src/mustardwick/entry/head_store_test.hpp
@@ -27,7 +27,13 @@
     /// Another daemon has written the head row.
     superseded,
     /// Calls have no effect and are not answered.
-    unresponsive
+    unresponsive,
+    /// A transaction that writes other rows is answered with 400.
+    content_invalid,
+    /// The same with 503.
+    content_refused,
+    /// The same, and the answers to other transactions are lost.
+    content_invalid_answers_lost
 };
 
 /// A store that holds only the head row and implements the store's HTTP
@@ -44,6 +50,14 @@
             return respond({503, "{}", "application/json", {}});
         if (request.method == "GET")
             return answer({200, head_row(), "application/json", {}}, respond);
+        const bool has_content =
+            request.body.find("\"value\"") != request.body.rfind("\"value\"");
+        if (rejects_content() && has_content)
+        {
+            const int status =
+                fault == store_fault::content_refused ? 503 : 400;
+            return respond({status, "{}", "application/json", {}});
+        }
         const auto at = request.body.find("\"row_version\":");
         const auto expected = std::stoll(request.body.substr(at + 14));
         const bool matches = expected == version;
@@ -55,7 +69,10 @@
             value = request.body.substr(begin,
                                         request.body.find('"', begin) - begin);
         }
-        if (fault == store_fault::answer_lost && calls == 1)
+        const bool answer_lost =
+            (fault == store_fault::answer_lost && calls == 1) ||
+            (fault == store_fault::content_invalid_answers_lost && matches);
+        if (answer_lost)
             return;
         const auto number = std::to_string(version);
         const auto body =
@@ -65,6 +82,13 @@
         answer(out, respond);
     }
 
+    bool rejects_content() const
+    {
+        return fault == store_fault::content_invalid ||
+               fault == store_fault::content_refused ||
+               fault == store_fault::content_invalid_answers_lost;
+    }
+
     void answer(const aio::outgoing_response& out,
                 const aio::responder& respond) const
     {
--- a/src/mustardwick/entry/job_rows.cpp
+++ b/src/mustardwick/entry/job_rows.cpp
@@ -10,64 +10,76 @@
 
 void add_change(durable::transaction& out, dispatch::row_change change)
 {
-    durable::row_address job{job_table, plan_partition, change.job};
-    durable::row_address progress{progress_table, plan_partition, change.job};
-    if (change.progress.empty())
-    {
-        out.removals.push_back(std::move(job));
-        out.removals.push_back(std::move(progress));
-        return;
-    }
-    if (!change.specification.empty())
-    {
-        const job_row row{std::move(change.specification),
-                          std::move(change.progress)};
-        out.writes.push_back({std::move(job), wire::encode(row)});
-        return;
-    }
-    if (change.drop_specification)
-        out.removals.push_back(std::move(job));
-    out.writes.push_back({std::move(progress), std::move(change.progress)});
+    const bool is_job = change.kind == dispatch::row_kind::job;
+    durable::row_address address{is_job ? job_table : progress_table,
+                                 plan_partition, std::move(change.key)};
+    if (change.value)
+        out.writes.push_back({std::move(address), std::move(*change.value)});
+    else
+        out.removals.push_back(std::move(address));
 }
 
 bool stored_jobs::add(const durable::row& row)
 {
-    auto& it = jobs_[row.address.key];
+    const std::string_view key = row.address.key;
+    const auto separator = key.find(dispatch::block_separator);
+    auto& it = jobs_[std::string(key.substr(0, separator))];
     if (row.address.table != job_table)
     {
-        it.latest = wire::decode<jobs::job_record>(row.value);
+        if (separator != std::string_view::npos)
+        {
+            it.blocks.emplace(key.substr(separator + 1), row.value);
+            return true;
+        }
+        it.latest = dispatch::decode_progress_head(row.value);
         it.unreadable = it.unreadable || !it.latest;
         return it.latest.has_value();
     }
-    if (const auto both = wire::decode<job_row>(row.value))
+    if (const auto both = wire::decode<dispatch::job_row>(row.value))
     {
         it.specification = wire::decode<jobs::job>(both->specification);
-        it.accepted = wire::decode<jobs::job_record>(both->progress);
+        it.accepted = dispatch::decode_progress_head(both->progress);
     }
     const bool readable = it.specification && it.accepted;
     it.unreadable = it.unreadable || !readable;
     return readable;
 }
 
+stored_job stored_jobs::assemble(const std::string& id, parts from)
+{
+    stored_job out;
+    out.specification = std::move(from.specification);
+    auto head = from.latest ? std::move(from.latest) : std::move(from.accepted);
+    // An older state would restart tasks that have ended since.
+    if (from.unreadable)
+        head.reset();
+    const bool ended = head && is_final(head->record.state);
+    if (ended && !out.specification)
+    {
+        out.specification.emplace();
+        out.specification->id = id;
+    }
+    out.split = head && head->split;
+    const bool complete =
+        head &&
+        (!out.split || (out.specification &&
+                        dispatch::restore_blocks(
+                            head->record, *out.specification, from.blocks)));
+    if (complete)
+        out.record = std::move(head->record);
+    out.unreadable = from.unreadable || (head && !complete);
+    out.blocks = std::move(from.blocks);
+    if (!out.split)
+        for (auto& [name, value] : out.blocks)
+            value.clear();
+    return out;
+}
+
 std::map<std::string, stored_job> stored_jobs::take()
 {
     std::map<std::string, stored_job> out;
     for (auto& [id, it] : std::exchange(jobs_, {}))
-    {
-        stored_job job{std::move(it.specification),
-                       it.latest ? std::move(it.latest)
-                                 : std::move(it.accepted)};
-        // An older state would restart tasks that have ended since.
-        if (it.unreadable)
-            job.record.reset();
-        const bool ended = job.record && is_final(job.record->state);
-        if (ended && !job.specification)
-        {
-            job.specification.emplace();
-            job.specification->id = id;
-        }
-        out.emplace(id, std::move(job));
-    }
+        out.emplace(id, assemble(id, std::move(it)));
     return out;
 }
 
--- a/src/mustardwick/entry/job_rows_test.cpp
+++ b/src/mustardwick/entry/job_rows_test.cpp
@@ -15,28 +15,32 @@
 namespace
 {
 
-dispatch::row_change change_of(bool accepted, bool ended, jobs::job_state state)
+using row_changes = std::vector<dispatch::row_change>;
+
+row_changes change_of(bool accepted, bool ended, jobs::job_state state)
 {
-    dispatch::row_change out;
-    out.job = "j";
+    using dispatch::row_kind;
     jobs::job job;
     job.id = "j";
     jobs::job_record record;
     record.state = state;
+    const auto progress = wire::encode(record);
     if (accepted)
-        out.specification = wire::encode(job);
-    out.drop_specification = ended;
-    out.progress = wire::encode(record);
+        return {{row_kind::job, "j",
+                 wire::encode(dispatch::job_row{wire::encode(job), progress})}};
+    row_changes out = {{row_kind::progress, "j", progress}};
+    if (ended)
+        out.push_back({row_kind::job, "j", std::nullopt});
     return out;
 }
 
 /// Applies changes to the rows of a store.
-void apply(std::vector<durable::row>& rows, dispatch::row_change change)
+void apply_changes(std::vector<durable::row>& rows, const row_changes& changes)
 {
     durable::transaction out;
-    const auto counted = change.rows();
-    add_change(out, std::move(change));
-    cr_assert_eq(out.writes.size() + out.removals.size(), counted);
+    for (const auto& it : changes)
+        add_change(out, it);
+    cr_assert_eq(out.writes.size() + out.removals.size(), changes.size());
     const auto erase = [&rows](const durable::row_address& address)
     {
         std::erase_if(rows,
@@ -59,7 +63,7 @@
 struct rows_case
 {
     const char* name;
-    std::vector<dispatch::row_change> changes;
+    std::vector<row_changes> changes;
     std::size_t rows;
     jobs::job_state state;
 };
@@ -88,7 +92,7 @@
     {
         std::vector<durable::row> rows;
         for (const auto& change : it.changes)
-            apply(rows, change);
+            apply_changes(rows, change);
         cr_assert_eq(rows.size(), it.rows, "%s", it.name);
         for (const bool reversed : {false, true})
         {
@@ -112,11 +116,10 @@
 Test(job_rows, removes_jobs_and_rejects_undecodable_rows)
 {
     std::vector<durable::row> rows;
-    apply(rows, change_of(true, false, jobs::job_state::queued));
-    apply(rows, change_of(false, false, jobs::job_state::running));
-    dispatch::row_change removal;
-    removal.job = "j";
-    apply(rows, removal);
+    apply_changes(rows, change_of(true, false, jobs::job_state::queued));
+    apply_changes(rows, change_of(false, false, jobs::job_state::running));
+    apply_changes(rows, {{dispatch::row_kind::job, "j", std::nullopt},
+                         {dispatch::row_kind::progress, "j", std::nullopt}});
     cr_assert(rows.empty());
     stored_jobs loaded;
     for (const auto& table : {job_table, progress_table})
@@ -124,7 +127,7 @@
             loaded.add({{table, plan_partition, "j"}, "x", 1, false}));
     const auto jobs = loaded.take();
     cr_assert(!jobs.at("j").specification && !jobs.at("j").record);
-    apply(rows, change_of(true, false, jobs::job_state::queued));
+    apply_changes(rows, change_of(true, false, jobs::job_state::queued));
     cr_assert(loaded.add(rows.front()));
     cr_assert_not(
         loaded.add({{progress_table, plan_partition, "j"}, "x", 1, false}));
--- a/src/mustardwick/entry/state_log.cpp
+++ b/src/mustardwick/entry/state_log.cpp
@@ -29,6 +29,11 @@
 constexpr milliseconds outage_resend_interval{120};
 constexpr milliseconds refused_resend_delay{60};
 constexpr milliseconds unknown_resend_delay{5};
+/// Accepted probes, each after a rejected copy, that show that the store
+/// rejects the content of a transaction.
+constexpr int probes_to_reject = 6;
+/// The same if the store says that the transaction is invalid.
+constexpr int probes_to_reject_invalid = 2;
 
 durable::row_address head_address()
 {
@@ -63,27 +68,45 @@
     busy_ = true;
     done_ = std::move(done);
     started_ = clock_.now();
-    head_.transaction = base::unique_id();
+    failures_ = 0;
+    accepted_probes_ = 0;
+    is_invalid_ = false;
     current_ = std::move(change);
-    current_.conditions.push_back({head_address(), version_});
-    current_.writes.push_back({head_address(), wire::encode(head_)});
+    probe_ = {};
+    for (auto* it : {&probe_, &current_})
+    {
+        head_.transaction = base::unique_id();
+        it->conditions.push_back({head_address(), version_});
+        it->writes.push_back({head_address(), wire::encode(head_)});
+        if (it == &probe_)
+            probe_id_ = head_.transaction;
+    }
     ++commit_number_;
     send();
 }
 
+state_log::copy_kind state_log::next_copy() const
+{
+    const bool has_content =
+        current_.writes.size() + current_.removals.size() > 1;
+    return has_content && failures_ % 2 == 1 ? copy_kind::probe
+                                             : copy_kind::whole;
+}
+
 void state_log::send()
 {
     if (stopped_ || !busy_)
         return;
     const auto sent = clock_.now();
     sent_ = sent;
-    store_.commit(current_, answer_timeout,
-                  [self = shared_from_this(), sent,
+    const auto copy = next_copy();
+    store_.commit(copy == copy_kind::probe ? probe_ : current_, answer_timeout,
+                  [self = shared_from_this(), sent, copy,
                    number = commit_number_](durable::store_reply reply)
                   {
                       if (!self->stopped_ && self->busy_ &&
                           self->commit_number_ == number)
-                          self->answered(std::move(reply), sent);
+                          self->answered(std::move(reply), sent, copy);
                   });
     const bool outage =
         failing_since_ && sent - *failing_since_ > outage_timeout;
@@ -101,37 +124,73 @@
         });
 }
 
-void state_log::answered(durable::store_reply reply, base::steady_time sent)
+void state_log::renew(std::int64_t version, base::steady_time sent)
+{
+    version_ = version;
+    confirmed_ = sent;
+}
+
+void state_log::answered(durable::store_reply reply, base::steady_time sent,
+                         copy_kind copy)
 {
     using durable::store_outcome;
-    if (reply.end == store_outcome::done)
+    if (reply.end == store_outcome::conflict)
+        return conflicted(reply, sent);
+    if (reply.end != store_outcome::done)
+        return failed(reply, sent, copy);
+    if (copy == copy_kind::probe)
+        return probe_succeeded(reply.version, sent);
+    renew(reply.version, sent);
+    finish(log_result::durable);
+}
+
+void state_log::conflicted(const durable::store_reply& reply,
+                           base::steady_time sent)
+{
+    const auto it = std::find_if(reply.rows.begin(), reply.rows.end(),
+                                 [](const auto& row)
+                                 {
+                                     return row.address == head_address();
+                                 });
+    std::optional<head_record> found;
+    if (it != reply.rows.end())
+        found = wire::decode<head_record>(it->value);
+    // An earlier copy of this transaction, or a probe, took effect.
+    if (found && found->transaction == probe_id_)
     {
-        version_ = reply.version;
-        confirmed_ = sent;
-        return finish(log_result::durable);
+        // The copy that failed now knew an older version than the probe left.
+        if (it->version != version_)
+            return probe_succeeded(it->version, sent);
+        return;
     }
-    if (reply.end == store_outcome::conflict)
+    if (!found || found->transaction != head_.transaction)
+        return finish(log_result::superseded);
+    renew(it->version, sent);
+    finish(log_result::durable);
+}
+
+void state_log::probe_succeeded(std::int64_t version, base::steady_time sent)
+{
+    renew(version, sent);
+    ++accepted_probes_;
+    const int needed =
+        is_invalid_ ? probes_to_reject_invalid : probes_to_reject;
+    // A successor may follow a probe that released leadership.
+    if (head_.released || accepted_probes_ >= needed)
     {
-        const auto it = std::find_if(reply.rows.begin(), reply.rows.end(),
-                                     [](const auto& row)
-                                     {
-                                         return row.address == head_address();
-                                     });
-        std::optional<head_record> found;
-        if (it != reply.rows.end())
-            found = wire::decode<head_record>(it->value);
-        if (!found || found->transaction != head_.transaction)
-            return finish(log_result::superseded);
-        // An earlier copy of this transaction took effect.
-        version_ = it->version;
-        confirmed_ = sent;
-        return finish(log_result::durable);
+        log_rejection();
+        return finish(log_result::rejected);
     }
-    failed(reply, sent);
+    failing_since_.reset();
+    unresponsive_ = false;
+    ++failures_;
+    for (auto* it : {&current_, &probe_})
+        it->conditions.front().version = version_;
+    send();
 }
 
 void state_log::failed(const durable::store_reply& reply,
-                       base::steady_time sent)
+                       base::steady_time sent, copy_kind copy)
 {
     using durable::store_outcome;
     unresponsive_ = reply.end == store_outcome::unknown;
@@ -139,6 +198,12 @@
     // A newer copy is still awaiting its answer.
     if (sent != sent_)
         return;
+    ++failures_;
+    if (copy == copy_kind::whole)
+    {
+        rejection_ = reply.reason;
+        is_invalid_ = reply.end == store_outcome::invalid;
+    }
     resend_after(reply.end == store_outcome::refused ? refused_resend_delay
                                                      : unknown_resend_delay);
 }
@@ -152,6 +217,26 @@
                     {{"reason", reason}});
 }
 
+void state_log::log_rejection() const
+{
+    std::size_t bytes = 0;
+    const auto largest =
+        std::max_element(current_.writes.begin(), current_.writes.end(),
+                         [](const auto& left, const auto& right)
+                         {
+                             return left.value.size() < right.value.size();
+                         });
+    for (const auto& it : current_.writes)
+        bytes += it.value.size();
+    base::log_event(base::log_level::error, "state_log", "content_rejected",
+                    {{"reason", rejection_},
+                     {"writes", current_.writes.size()},
+                     {"removals", current_.removals.size()},
+                     {"bytes", bytes},
+                     {"largest_row", largest->address.key},
+                     {"largest_row_bytes", largest->value.size()}});
+}
+
 void state_log::resend_after(milliseconds delay)
 {
     timer_.expires_after(delay);
--- a/src/mustardwick/entry/state_log_test.cpp
+++ b/src/mustardwick/entry/state_log_test.cpp
@@ -90,6 +90,48 @@
     }
 }
 
+// Guards against a leader that sends a transaction for ever that the store does
+// not take for its content: no daemon could commit anything (review/1).
+Test(state_log, tells_a_rejected_transaction_from_a_failing_store)
+{
+    const std::array cases = {
+        log_case{store_fault::content_invalid, log_result::rejected, 2, 27420},
+        log_case{store_fault::content_refused, log_result::rejected, 6, 27421,
+                 milliseconds(1200)},
+        log_case{store_fault::content_invalid_answers_lost,
+                 log_result::rejected, 2, 27422, milliseconds(5000)},
+    };
+    for (const auto& it : cases)
+    {
+        log_fixture cell(it.port, it.fault);
+        const auto before = cell.store.version;
+        const auto commit = [&](durable::transaction change)
+        {
+            std::optional<log_result> result;
+            cell.log->commit(std::move(change),
+                             [&](log_result out)
+                             {
+                                 result = out;
+                             });
+            const auto give_up = cell.clock.now() + std::chrono::seconds(8);
+            while (!result && cell.clock.now() < give_up)
+                cell.io.run_one_for(milliseconds(50));
+            cr_assert(result.has_value());
+            return *result;
+        };
+        durable::transaction content;
+        content.writes.push_back({{"jobs", "plan", "j"}, "value"});
+        const auto started = cell.clock.now();
+        cr_assert_eq(commit(content), it.result);
+        cr_assert_lt((cell.clock.now() - started).count(),
+                     std::chrono::nanoseconds(it.max_duration).count());
+        cr_assert_eq(cell.store.version - before, it.versions);
+        cr_assert_not(cell.log->failing_since().has_value());
+        cell.store.fault = store_fault::none;
+        cr_assert_eq(commit(content), log_result::durable);
+    }
+}
+
 // Guards against a late detection of the end of an outage: callers retry for
 // three seconds only (the affected window earned only 0.14 of its value).
 Test(state_log, resends_often_during_an_outage)
