Keep running accepted jobs when their queue is renamed, moved or removed

Cause: a job kept only the name of its queue. Each use looked the name up in the newest configuration and had its own answer to a missing one: no placement, no limit of attempts, dropped orders and answers of the advisor, no place in the count of waiting jobs.

Evidence: status lines with 6 active jobs, 0 ready steps and no reason, version 2 applied by all three daemons, the job sent after it completed. Ruled out: an older configuration of the leader; tickets, failed hosts and the account's maximum (all 0).

Change: accepted_queues holds the terms of the queues of open jobs in rows of their own and follows the configuration by host name and prefix. The last terms hold while no version has the queue. A name that is given to another queue gets an alias, and the jobs are rewritten first. Rows of jobs keep their format.

Why it works: every use takes the terms from one place that has them as long as a job is open, and a leader that has seen only the newest version finds them in the store, where they were before the first job that refers to them.

--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -61,8 +61,9 @@
 struct job_context
 {
     std::uint64_t configuration_serial = 0;
-    /// Null while the configuration has no such queue.
+    /// Null while the queue is not known.
     const jobs::queue* queue = nullptr;
+    bool is_unrouted = false;
     /// Null when the account is not configured.
     const policy::resources* maximum = nullptr;
     account_usage* usage = nullptr;
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -12,6 +12,7 @@
 
 #include "mustardwick/base/clock.hpp"
 #include "mustardwick/base/metrics.hpp"
+#include "mustardwick/dispatch/accepted_queues.hpp"
 #include "mustardwick/dispatch/host_state.hpp"
 #include "mustardwick/dispatch/job_run.hpp"
 #include "mustardwick/dispatch/orders.hpp"
@@ -54,6 +55,11 @@
 struct round_summary
 {
     std::size_t active_jobs = 0;
+    /// Jobs whose queue is not in the newest configuration; they run under its
+    /// last terms.
+    std::size_t unrouted_jobs = 0;
+    /// Jobs whose queue is not known; they do not run.
+    std::size_t unknown_queue_jobs = 0;
     std::size_t ready_steps = 0;
     /// Steps whose account is at its maximum.
     std::size_t at_maximum = 0;
@@ -102,6 +108,9 @@
     void restore(jobs::job specification, jobs::job_record record,
                  bool split = false,
                  std::map<std::string, std::string, std::less<>> blocks = {});
+    /// @brief Restores the queues of the jobs that a former leader persisted;
+    /// only then rows of queues are written.
+    void restore_queues(std::map<std::string, jobs::queue> stored);
     /// @brief Removes rows that belong to no job.
     void discard(std::vector<row_change> removals);
     void worker_listed(const jobs::worker_info& info);
@@ -134,8 +143,8 @@
     /// when there is no such job.
     void cancel(const std::string& id, const cancelled& done);
     std::optional<jobs::job_state> state_of(const std::string& id) const;
-    /// @brief Returns the number of open jobs of a queue of which no task has
-    /// started.
+    /// @brief Returns the number of open jobs of which no task has started, of
+    /// the queue that has the given name now or had it when they were accepted.
     std::size_t waiting_jobs(std::string_view queue) const;
     /// @}
 
@@ -215,6 +224,8 @@
         std::deque<row_change> rows;
         /// std::nullopt for rows that belong to no job.
         std::optional<job_effects> effects;
+        /// Some of its rows are part of a transaction.
+        bool started = false;
     };
     /// Processors of a service's hosts, in millicores.
     struct processors
@@ -246,6 +257,15 @@
     void drop_unstored(const std::vector<std::string>& ids,
                        std::string_view reason);
 
+    // planner_queues.cpp
+    /// @brief Brings the queues of open jobs in line with the configuration.
+    void follow_configuration();
+    /// @brief Adds the changed queues to the rows to write. Jobs whose queue
+    /// has a new key are stored between the row of that key and the row that
+    /// replaces the former one.
+    void store_queues(const accepted_queues::renamed_keys& renamed);
+    void drop_unused_queues();
+
     // planner_commits.cpp
     unfinished_change encode_change(job_run& job);
     /// @brief Marks a job whose change was not carried out as changed again.
@@ -379,6 +399,8 @@
     planner_options options_;
     base::metrics& metrics_;
     jobs::configuration configuration_;
+    accepted_queues queues_;
+    bool queues_restored_ = false;
     std::set<std::string, std::less<>> evacuated_;
     std::unordered_map<std::string, job_run> jobs_;
     /// Jobs that have not ended, oldest first.
@@ -392,7 +414,7 @@
     std::deque<std::string> dirty_;
     /// Effects of the transaction in flight.
     std::optional<std::vector<job_effects>> committing_;
-    std::optional<unfinished_change> unfinished_;
+    std::deque<unfinished_change> unfinished_;
     /// Jobs whose rows the store rejects.
     std::set<std::string> suspended_;
     /// Maximum number of jobs in one transaction; small while a job whose rows
--- a/include/mustardwick/dispatch/row_change.hpp
+++ b/include/mustardwick/dispatch/row_change.hpp
@@ -16,7 +16,10 @@
     /// A job as it was accepted: an encoded job_row. Removed when the job ends.
     job,
     /// The latest progress of a job, or a block of it: see progress_rows.
-    progress
+    progress,
+    /// An encoded jobs::queue through which jobs were accepted, by the key that
+    /// these hold.
+    queue
 };
 
 /// @brief Value of a row_kind::job row.
--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -78,6 +78,7 @@
 
 private:
     void load_table(const std::string& table);
+    void load_row(const durable::row& row);
     void load_members();
     void loaded();
     void read_registry();
@@ -117,6 +118,7 @@
     /// Member that takes over after a release.
     std::optional<member_record> successor_;
     stored_jobs stored_;
+    std::map<std::string, jobs::queue> stored_queues_;
     std::set<std::string> known_workers_;
     std::int64_t registry_version_ = 0;
     bool work_scheduled_ = false;
@@ -135,6 +137,7 @@
 inline const std::string cell_table = "cell";
 inline const std::string job_table = "jobs";
 inline const std::string progress_table = "progress";
+inline const std::string queue_table = "queues";
 /// Partition of all rows that one transaction may have to change together.
 inline const std::string plan_partition = "plan";
 inline const std::string member_partition = "members";
--- a/include/mustardwick/jobs/configuration.hpp
+++ b/include/mustardwick/jobs/configuration.hpp
@@ -8,6 +8,9 @@
 #include <string_view>
 #include <vector>
 
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+
 #include "mustardwick/policy/types.hpp"
 
 namespace mustardwick::jobs
@@ -22,6 +25,14 @@
     double per_host_ms = 0;
     /// How long an answer is valid.
     std::int64_t valid_ms = 0;
+
+    bool operator==(const advice_cost&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(base_ms, per_host_ms, valid_ms);
+    }
 };
 
 struct queue
@@ -43,6 +54,21 @@
     std::optional<advice_cost> advice;
     /// Requests need no API key.
     bool is_public = false;
+
+    bool operator==(const queue&) const = default;
+
+    /// @brief Returns whether callers reach both queues in the same way.
+    bool has_address_of(const queue& other) const
+    {
+        return host_name == other.host_name && path_prefix == other.path_prefix;
+    }
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(name, host_name, path_prefix, service, priority, attempts, stretch,
+           target_latency_ms, advice, is_public);
+    }
 };
 
 struct service
--- a/include/mustardwick/wire/input_archive.hpp
+++ b/include/mustardwick/wire/input_archive.hpp
@@ -79,6 +79,13 @@
     value = byte != 0;
 }
 
+template <typename T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(input_archive& archive,
+                                    cereal::NameValuePair<T>& value)
+{
+    archive(value.value);
+}
+
 template <typename T>
 void CEREAL_SERIALIZE_FUNCTION_NAME(input_archive& archive,
                                     cereal::SizeTag<T>& value)
--- /dev/null
+++ b/src/mustardwick/dispatch/accepted_queues_test.cpp
@@ -0,0 +1,325 @@
+#include "mustardwick/dispatch/accepted_queues.hpp"
+
+#include <array>
+
+#include <criterion/criterion.h>
+
+#include "mustardwick/wire/codec.hpp"
+#include "planner_fixture_test.hpp"
+
+using namespace mustardwick;
+using namespace mustardwick::dispatch;
+using namespace mustardwick::dispatch::test;
+
+namespace
+{
+
+jobs::queue queue_at(const std::string& name, const std::string& prefix,
+                     const std::string& service, int attempts = 2)
+{
+    auto out = make_queue(name, 1);
+    out.host_name = "h";
+    out.path_prefix = prefix;
+    out.service = service;
+    out.attempts = attempts;
+    return out;
+}
+
+jobs::configuration with_queues(std::vector<jobs::queue> queues,
+                                std::set<std::string> services = {"s", "t"})
+{
+    static std::int64_t version = 0;
+    jobs::configuration out;
+    out.version = ++version;
+    for (auto& it : queues)
+        out.queues[it.name] = std::move(it);
+    for (const auto& it : services)
+        out.services[it] = {it, false, false};
+    out.accounts["a"] = {"a", {}, 1, {}};
+    return out;
+}
+
+} // namespace
+
+struct change_case
+{
+    const char* name;
+    std::vector<std::vector<jobs::queue>> versions;
+    std::set<std::string> services;
+    /// Of the job that was accepted through queue "q" at "/q/" for service "s".
+    std::string service;
+    int attempts;
+    std::string queue;
+    bool is_configured;
+};
+
+const std::vector<change_case>& change_cases()
+{
+    static const std::set<std::string> both = {"s", "t"};
+    static const std::vector<change_case> out = {
+        {"unchanged", {{queue_at("q", "/q/", "s")}}, both, "s", 2, "q", true},
+        {"other terms",
+         {{queue_at("q", "/q/", "s", 5)}},
+         both,
+         "s",
+         5,
+         "q",
+         true},
+        {"other service",
+         {{queue_at("q", "/q/", "t")}},
+         both,
+         "t",
+         2,
+         "q",
+         true},
+        {"renamed", {{queue_at("r", "/q/", "s", 5)}}, both, "s", 5, "r", true},
+        {"renamed twice",
+         {{queue_at("r", "/q/", "s")}, {queue_at("x", "/q/", "s", 7)}},
+         both,
+         "s",
+         7,
+         "x",
+         true},
+        {"removed", {{}}, both, "s", 2, "q", false},
+        {"changed, then removed",
+         {{queue_at("q", "/q/", "t", 5)}, {}},
+         both,
+         "t",
+         5,
+         "q",
+         false},
+        {"back under another name",
+         {{}, {queue_at("r", "/q/", "s", 5)}},
+         both,
+         "s",
+         5,
+         "r",
+         true},
+        {"moved", {{queue_at("q", "/p/", "s", 5)}}, both, "s", 5, "q", true},
+        {"address given to another service",
+         {{queue_at("r", "/q/", "t", 5)}},
+         both,
+         "s",
+         2,
+         "q",
+         false},
+        {"address given to another service, its own one is gone",
+         {{queue_at("r", "/q/", "t", 5)}},
+         {"t"},
+         "t",
+         5,
+         "r",
+         true},
+        {"name given to another queue",
+         {{queue_at("q", "/p/", "t", 5)}},
+         both,
+         "s",
+         2,
+         "q",
+         false},
+        {"names exchanged",
+         {{queue_at("q", "/r/", "s", 5), queue_at("r", "/q/", "s", 6)}},
+         both,
+         "s",
+         6,
+         "r",
+         true},
+    };
+    return out;
+}
+
+// Guards against accepted jobs that are never started again, or started on
+// another service, after a version renames, moves or removes their queue
+// (review/2).
+Test(accepted_queues, keep_serving_jobs_through_configuration_changes)
+{
+    for (const auto& it : change_cases())
+    {
+        accepted_queues queues;
+        queues.configure(with_queues(
+            {queue_at("q", "/q/", "s"), queue_at("r", "/r/", "s")}));
+        std::string key = "q";
+        for (const auto& version : it.versions)
+            for (const auto& [former, alias] :
+                 queues.configure(with_queues(version, it.services)))
+                if (key == former)
+                    key = alias;
+        const auto* found = queues.find(key);
+        cr_assert_not_null(found, "%s", it.name);
+        cr_assert_eq(found->terms.service, it.service, "%s", it.name);
+        cr_assert_eq(found->terms.attempts, it.attempts, "%s", it.name);
+        cr_assert_eq(found->terms.name, it.queue, "%s", it.name);
+        cr_assert_eq(found->is_configured, it.is_configured, "%s", it.name);
+    }
+}
+
+namespace
+{
+
+using stored_rows = std::map<std::pair<row_kind, std::string>, std::string>;
+
+/// A planner whose rows are kept, with workers of two services.
+struct queue_cell : planner_fixture
+{
+    explicit queue_cell(stored_rows& rows) : planner_fixture(0), rows_(rows)
+    {
+        for (const auto* service : {"s", "t"})
+        {
+            jobs::worker_info info;
+            info.id = std::string("w-") + service;
+            info.service = service;
+            info.failure_domain = "z";
+            info.capacity = {host_cores * 1000, 64'000, 0};
+            plan.worker_listed(info);
+            report(info.id);
+        }
+    }
+
+    /// Loads the rows as a new leader does: it knows only the newest
+    /// configuration.
+    void load(const jobs::configuration& newest)
+    {
+        plan.set_configuration(newest);
+        std::map<std::string, jobs::queue> queues;
+        for (const auto& [key, value] : rows_)
+            if (key.first == row_kind::queue)
+                queues[key.second] = *wire::decode<jobs::queue>(value);
+        for (const auto& [key, value] : rows_)
+        {
+            if (key.first != row_kind::job)
+                continue;
+            const auto row = *wire::decode<job_row>(value);
+            const auto latest = rows_.find({row_kind::progress, key.second});
+            plan.restore(*wire::decode<jobs::job>(row.specification),
+                         *wire::decode<jobs::job_record>(latest == rows_.end()
+                                                             ? row.progress
+                                                             : latest->second));
+        }
+        plan.restore_queues(std::move(queues));
+    }
+
+    /// Commits at most the given number of transactions.
+    void store(int transactions)
+    {
+        for (int it = 0; it < transactions; ++it)
+        {
+            const auto changes = plan.next_commit(96, 600'000);
+            if (changes.empty())
+                return;
+            for (const auto& change : changes)
+                if (change.value)
+                    rows_[{change.kind, change.key}] = *change.value;
+                else
+                    rows_.erase({change.kind, change.key});
+            plan.commit_done();
+        }
+    }
+
+    orders place()
+    {
+        clock.advance(milliseconds(200));
+        plan.take_orders({});
+        store(100);
+        return plan.take_orders({});
+    }
+
+    stored_rows& rows_;
+};
+
+} // namespace
+
+// Guards against accepted jobs that a new leader, which has seen only the
+// newest version, never starts again or sends to another service (review/2).
+Test(accepted_queues, survive_a_change_of_leaders)
+{
+    for (const auto& it : change_cases())
+        for (int stored = 0; stored < 5; ++stored)
+        {
+            stored_rows rows;
+            queue_cell first(rows);
+            first.load(with_queues(
+                {queue_at("q", "/q/", "s"), queue_at("r", "/r/", "s")}));
+            first.plan.submit(make_job("j", "q", {make_step(1, 1)}), [] {});
+            first.plan.submit(make_job("k", "q", {make_step(1, 1)}), [] {});
+            first.store(100);
+            // The leader ends while it stores the changes.
+            jobs::configuration newest;
+            for (const auto& version : it.versions)
+            {
+                newest = with_queues(version, it.services);
+                first.plan.set_configuration(newest);
+                first.store(&version == &it.versions.back() ? stored : 100);
+            }
+            queue_cell second(rows);
+            second.load(newest);
+            const auto starts = second.place().starts;
+            cr_assert_eq(starts.size(), 2, "%s, %d stored", it.name, stored);
+            for (const auto& start : starts)
+                cr_assert_eq(start.worker, "w-" + it.service,
+                             "%s, %d stored: %s", it.name, stored,
+                             start.worker.c_str());
+        }
+}
+
+// Guards against rows of queues that stay for ever, and against a job without
+// terms that arrives late through a queue that was just removed.
+Test(accepted_queues, are_dropped_once_no_job_uses_them)
+{
+    stored_rows rows;
+    queue_cell cell(rows);
+    cell.load(with_queues({queue_at("q", "/q/", "s")}));
+    cell.store(100);
+    cell.plan.set_configuration(with_queues({queue_at("r", "/r/", "s")}));
+    cell.plan.submit(make_job("late", "q", {make_step(1, 1)}), [] {});
+    auto starts = cell.place().starts;
+    cr_assert_eq(starts.size(), 1);
+    cell.accept(starts[0]);
+    for (int it = 0; it < 3; ++it)
+    {
+        cell.clock.advance(std::chrono::seconds(6));
+        cell.place();
+        cr_assert(rows.contains({row_kind::queue, "q"}));
+    }
+    cell.end(starts[0], 1, jobs::run_outcome::done);
+    for (int it = 0; it < 3; ++it)
+    {
+        cell.clock.advance(std::chrono::seconds(6));
+        cell.place();
+    }
+    cr_assert_not(rows.contains({row_kind::queue, "q"}));
+    cr_assert(rows.contains({row_kind::queue, "r"}));
+}
+
+// Guards against a task that is started once more after its last attempt has
+// failed while its queue was not configured.
+Test(accepted_queues, keep_the_number_of_attempts)
+{
+    stored_rows rows;
+    queue_cell cell(rows);
+    const auto present = with_queues({queue_at("q", "/q/", "s", 1)});
+    cell.load(present);
+    cell.plan.submit(make_job("j", "q", {make_step(1, 1)}), [] {});
+    const auto starts = cell.place().starts;
+    cr_assert_eq(starts.size(), 1);
+    cell.accept(starts[0]);
+    cell.plan.set_configuration(with_queues({}));
+    cell.end(starts[0], 1, jobs::run_outcome::failed);
+    cell.plan.set_configuration(present);
+    cr_assert(cell.place().starts.empty());
+    cr_assert_eq(cell.plan.state_of("j"), jobs::job_state::failed);
+}
+
+// Guards against a count of waiting jobs that leaves out those of a renamed
+// queue.
+Test(accepted_queues, count_waiting_jobs_under_the_new_name)
+{
+    stored_rows rows;
+    queue_cell cell(rows);
+    cell.load(with_queues({queue_at("q", "/q/", "s")}));
+    cell.plan.submit(make_job("j", "q", {make_step(1, 1)}), [] {});
+    cr_assert_eq(cell.plan.waiting_jobs("q"), 1);
+    cell.plan.set_configuration(with_queues({queue_at("r", "/q/", "s")}));
+    cr_assert_eq(cell.plan.waiting_jobs("r"), 1);
+    cell.plan.submit(make_job("k", "r", {make_step(1, 1)}), [] {});
+    cr_assert_eq(cell.plan.waiting_jobs("r"), 2);
+}
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -41,7 +41,7 @@
 void planner::set_configuration(jobs::configuration value)
 {
     configuration_ = std::move(value);
-    ++configuration_serial_;
+    follow_configuration();
     placement_due_ = true;
 }
 
@@ -289,8 +289,14 @@
 {
     std::size_t n = 0;
     for (const auto& [number, job] : active_)
-        if (job->specification.queue == queue && !job->has_started)
+    {
+        const auto& key = job->specification.queue;
+        const auto* known = queues_.find(key);
+        const bool matches =
+            key == queue || (known != nullptr && known->terms.name == queue);
+        if (matches && !job->has_started)
             ++n;
+    }
     return n;
 }
 
@@ -356,6 +362,7 @@
     if (now < next_sweep_)
         return;
     next_sweep_ = now + retention_sweep_interval;
+    drop_unused_queues();
     const auto oldest = wall_ms(clock_) - options_.retention.count();
     for (auto& [id, job] : jobs_)
         if (is_final(job.record.state) && job.record.ended_ms < oldest &&
--- a/src/mustardwick/dispatch/planner_advice.cpp
+++ b/src/mustardwick/dispatch/planner_advice.cpp
@@ -216,14 +216,13 @@
                   {{"job", query.job}, {"step", query.step}});
         return;
     }
-    const auto queue = configuration_.queues.find(job->specification.queue);
-    if (queue == configuration_.queues.end() || !queue->second.advice)
+    const auto* queue = context_of(*job).queue;
+    if (queue == nullptr || !queue->advice)
         return;
     // The advisor answers no earlier than the expected duration after the query
     // was sent; the validity of the tickets counts from then.
     const auto answered = sent_at + milliseconds(query.expected_ms);
-    const auto expires =
-        answered + milliseconds(queue->second.advice->valid_ms);
+    const auto expires = answered + milliseconds(queue->advice->valid_ms);
     std::vector<host_state*> queried;
     for (const auto& id : query.workers)
         if (const auto it = hosts_.find(id); it != hosts_.end())
@@ -242,7 +241,7 @@
             state->access.allow(host->second.index, {it.ticket, expires});
     if (!allowed->empty())
         state->tickets_until = std::max(state->tickets_until, expires);
-    allowed_share_[queue->first].record(
+    allowed_share_[queue->name].record(
         queried.size() - std::size_t(allowed_before),
         std::size_t(count_allowed() - allowed_before));
     for (auto* host : queried)
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -83,9 +83,9 @@
         out.rows.push_back(
             {row_kind::progress, block_key(id, name), std::move(value)});
     }
-    if (specification.empty())
-        out.rows.push_back({row_kind::progress, id, std::move(progress.head)});
-    else
+    if (specification.empty() || job.durable)
+        out.rows.push_back({row_kind::progress, id, progress.head});
+    if (!specification.empty())
         out.rows.push_back({row_kind::job, id,
                             wire::encode(job_row{std::move(specification),
                                                  std::move(progress.head)})});
@@ -111,41 +111,53 @@
 {
     if (removals.empty())
         return;
-    unfinished_change change;
+    auto& change = unfinished_.emplace_back();
     change.rows.assign(std::make_move_iterator(removals.begin()),
                        std::make_move_iterator(removals.end()));
-    unfinished_ = std::move(change);
 }
 
 std::vector<row_change> planner::next_commit(std::size_t max_rows,
                                              std::size_t max_bytes)
 {
     std::vector<row_change> out;
-    if (committing_ || (dirty_.empty() && !unfinished_))
+    if (committing_ || (dirty_.empty() && unfinished_.empty()))
         return out;
     std::vector<job_effects> batch;
     std::size_t bytes = 0;
     const auto take_unfinished = [&]
     {
-        auto& rows = unfinished_->rows;
-        while (!rows.empty() && out.size() < max_rows && bytes < max_bytes)
+        auto& change = unfinished_.front();
+        change.started = true;
+        while (!change.rows.empty() && out.size() < max_rows &&
+               bytes < max_bytes)
         {
-            bytes += rows.front().bytes();
-            out.push_back(std::move(rows.front()));
-            rows.pop_front();
+            bytes += change.rows.front().bytes();
+            out.push_back(std::move(change.rows.front()));
+            change.rows.pop_front();
         }
-        if (!rows.empty())
+        if (!change.rows.empty())
             return;
-        if (unfinished_->effects)
-            batch.push_back(std::move(*unfinished_->effects));
-        unfinished_.reset();
+        if (change.effects)
+            batch.push_back(std::move(*change.effects));
+        unfinished_.pop_front();
     };
-    if (unfinished_)
-        take_unfinished();
+    const auto has_room = [&]
+    {
+        return batch.size() < max_jobs_per_commit_ &&
+               out.size() + rows_of_a_small_change <= max_rows &&
+               bytes < max_bytes;
+    };
+    // Rows without effects have a transaction of their own: they would be lost
+    // if it were rejected because of a job.
     bool is_alone = false;
-    while (!unfinished_ && !dirty_.empty() && !is_alone &&
-           batch.size() < max_jobs_per_commit_ &&
-           out.size() + rows_of_a_small_change <= max_rows && bytes < max_bytes)
+    while (!unfinished_.empty() && !is_alone && has_room())
+    {
+        is_alone = !unfinished_.front().effects;
+        if (is_alone && !out.empty())
+            break;
+        take_unfinished();
+    }
+    while (unfinished_.empty() && !dirty_.empty() && !is_alone && has_room())
     {
         auto& job = jobs_.at(dirty_.front());
         is_alone = job.rejected_until.has_value();
@@ -153,7 +165,7 @@
             break;
         dirty_.pop_front();
         job.dirty = false;
-        unfinished_ = encode_change(job);
+        unfinished_.push_back(encode_change(job));
         take_unfinished();
     }
     committing_ = std::move(batch);
@@ -198,15 +210,17 @@
 {
     auto batch = std::move(*committing_);
     committing_.reset();
-    if (unfinished_)
+    if (!unfinished_.empty() && unfinished_.front().started)
     {
-        if (unfinished_->effects)
-            batch.push_back(std::move(*unfinished_->effects));
-        unfinished_.reset();
+        if (unfinished_.front().effects)
+            batch.push_back(std::move(*unfinished_.front().effects));
+        unfinished_.pop_front();
     }
     metrics_.add("mustardwick_rejected_transactions_total");
     log_event(log_level::error, "planner", "transaction_rejected",
               {{"jobs", batch.size()}});
+    if (batch.empty())
+        return;
     if (batch.size() == 1)
         return isolate(std::move(batch.front()));
     max_jobs_per_commit_ = std::max<std::size_t>(1, batch.size() / 2);
@@ -241,7 +255,14 @@
     if (job == nullptr)
         return;
     if (!job->durable)
+    {
+        std::erase_if(unfinished_,
+                      [&](const auto& it)
+                      {
+                          return it.effects && it.effects->job == id;
+                      });
         return drop_unstored({id}, "the store rejects its rows");
+    }
     job->rejection_backoff =
         std::clamp(job->rejection_backoff * 2, min_suspension, max_suspension);
     job->rejected_until = clock_.now() + job->rejection_backoff;
@@ -282,15 +303,11 @@
         const auto it = host.runs.find({order.task, order.run});
         if (it == host.runs.end() || it->second.phase != run_phase::recording)
             continue;
-        const auto* job = find_job(order.task.job);
-        const auto queue =
-            job == nullptr
-                ? configuration_.queues.end()
-                : configuration_.queues.find(job->specification.queue);
+        auto* job = find_job(order.task.job);
+        const auto* queue = job == nullptr ? nullptr : context_of(*job).queue;
         // The host or the ticket may have become invalid since the host was
         // chosen.
-        if (queue == configuration_.queues.end() ||
-            !is_usable(host, queue->second.service) ||
+        if (queue == nullptr || !is_usable(host, queue->service) ||
             order.ticket_expires < clock_.now() + order_latency)
         {
             run_lost(host, it->first, "host or ticket is no longer valid");
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -140,11 +140,11 @@
     out = {};
     out.configuration_serial = configuration_serial_;
     out.usage = &usage_of(job.specification.account);
-    const auto queue = configuration_.queues.find(job.specification.queue);
-    if (queue != configuration_.queues.end())
+    if (const auto* queue = queues_.find(job.specification.queue))
     {
-        out.queue = &queue->second;
-        out.objective_ms = objective_of(job, queue->second);
+        out.queue = &queue->terms;
+        out.is_unrouted = !queue->is_configured;
+        out.objective_ms = objective_of(job, queue->terms);
     }
     const auto account =
         configuration_.accounts.find(job.specification.account);
@@ -186,6 +186,8 @@
     {
         auto& job = *active;
         const auto* queue = context_of(job).queue;
+        round_.unrouted_jobs += job.context.is_unrouted ? 1 : 0;
+        round_.unknown_queue_jobs += queue == nullptr ? 1 : 0;
         // No start of a suspended job can become durable.
         if (queue == nullptr || job.rejected_until)
             continue;
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -218,9 +218,8 @@
     }
     ++record->failures;
     mark_dirty(job);
-    const auto queue = configuration_.queues.find(job.specification.queue);
-    if (queue != configuration_.queues.end() &&
-        record->failures >= queue->second.attempts)
+    const auto* queue = context_of(job).queue;
+    if (queue != nullptr && record->failures >= queue->attempts)
         finish_job(job, jobs::job_state::failed);
 }
 
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -118,9 +118,10 @@
     configure(state);
     check_leadership();
     load_members();
-    tables_to_load_ = 2;
+    tables_to_load_ = 3;
     load_table(job_table);
     load_table(progress_table);
+    load_table(queue_table);
     read_registry();
 }
 
@@ -318,6 +319,8 @@
          {"round_us", std::int64_t(round.duration.count())},
          {"hosts_examined", round.hosts_examined},
          {"active_jobs", round.active_jobs},
+         {"unrouted_jobs", round.unrouted_jobs},
+         {"unknown_queue_jobs", round.unknown_queue_jobs},
          {"ready_steps", round.ready_steps},
          {"at_maximum", round.at_maximum},
          {"awaiting_advice", round.awaiting_advice},
--- a/src/mustardwick/entry/cell_leader_load.cpp
+++ b/src/mustardwick/entry/cell_leader_load.cpp
@@ -59,7 +59,7 @@
                      [self](const std::vector<durable::row>& rows)
                      {
                          for (const auto& it : rows)
-                             self->stored_.add(it);
+                             self->load_row(it);
                      },
                      [self](std::int64_t)
                      {
@@ -69,6 +69,21 @@
         ->start();
 }
 
+void cell_leader::load_row(const durable::row& row)
+{
+    if (row.address.table != queue_table)
+    {
+        stored_.add(row);
+        return;
+    }
+    auto queue = wire::decode<jobs::queue>(row.value);
+    if (queue)
+        stored_queues_[row.address.key] = std::move(*queue);
+    else
+        log_event(log_level::error, "leader", "queue_row_unreadable",
+                  {{"queue", row.address.key}});
+}
+
 void cell_leader::loaded()
 {
     std::size_t active = 0;
@@ -95,6 +110,7 @@
                          it.split, std::move(it.blocks));
     }
     planner_.discard(std::move(orphans));
+    planner_.restore_queues(std::move(stored_queues_));
     log_event(
         log_level::info, "leader", "state_loaded",
         {{"jobs", stored.size()}, {"active", active}, {"epoch", head_.epoch}});
--- a/src/mustardwick/entry/job_rows.cpp
+++ b/src/mustardwick/entry/job_rows.cpp
@@ -8,11 +8,23 @@
 namespace mustardwick::entry
 {
 
+namespace
+{
+
+const std::string& table_of(dispatch::row_kind kind)
+{
+    using dispatch::row_kind;
+    if (kind == row_kind::job)
+        return job_table;
+    return kind == row_kind::progress ? progress_table : queue_table;
+}
+
+} // namespace
+
 void add_change(durable::transaction& out, dispatch::row_change change)
 {
-    const bool is_job = change.kind == dispatch::row_kind::job;
-    durable::row_address address{is_job ? job_table : progress_table,
-                                 plan_partition, std::move(change.key)};
+    durable::row_address address{table_of(change.kind), plan_partition,
+                                 std::move(change.key)};
     if (change.value)
         out.writes.push_back({std::move(address), std::move(*change.value)});
     else
