--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -174,3 +174,31 @@
         while time.monotonic() < until:
             await self.random.choice([self.flood, self.flood,
                                       self.odd_entries])()
+
+
+class RouteChanges:
+    """Removes routes for a while and brings them back under another name. The
+    jobs that were accepted through them go on."""
+
+    def __init__(self, soak):
+        self.soak = soak
+        self.random = random.Random(f"routes-{soak.options.seed}")
+
+    async def change(self):
+        routes = self.soak.routes
+        route = self.random.choice(routes)
+        length = self.random.choice([0, self.random.uniform(0.2, 3)])
+        self.soak.log_fault("route", route["name"], "renamed", length)
+        if length:
+            routes.remove(route)
+            self.soak.configure()
+            await asyncio.sleep(length)
+            routes.append(route)
+        route["name"] = f"r-{self.random.randrange(10**6)}"
+        self.soak.configure()
+
+    async def inject(self, until):
+        while time.monotonic() < until:
+            await asyncio.sleep(self.random.expovariate(0.3))
+            if self.soak.routes:
+                await self.change()
--- a/testing/soak/hosted_soak.py
+++ b/testing/soak/hosted_soak.py
@@ -19,7 +19,8 @@
 import time
 
 import http_stub
-from faults import ActiveFaults, OddEntries, SecondFaults
+from faults import (ActiveFaults, OddEntries, RouteChanges,
+                    SecondFaults)
 from idle_check import IdleCheck
 from store import Store
 from workers import ATTEMPTS, Promises, Worker, serve_advice
@@ -36,6 +37,13 @@
 # of waiting jobs applies.
 CALM_S = 20
 STORE_FAULTS = ["busy", "reset", "unresponsive", "slow", "lost", "late"]
+ROUTE = {"host": "soak.example", "service": "s", "attempts": ATTEMPTS,
+         "stretch": 3}
+ROUTES = [{**ROUTE, "name": "plain", "path_prefix": "/plain/", "priority": 1,
+           "target_latency_ms": 2000},
+          {**ROUTE, "name": "asked", "path_prefix": "/asked/", "priority": 0,
+           "target_latency_ms": 1000,
+           "advice": {"decide_ms": 10, "period_ms": 0.5, "valid_ms": 2500}}]
 
 
 class Ports:
@@ -152,31 +160,25 @@
             for it, port in enumerate(ports.take(options.workers))]
         self.odd_entries = OddEntries(HOST, ports.take(1)[0], self.store,
                                       self.promises)
+        self.version = 0
+        self.routes = [dict(it) for it in ROUTES]
         self.faults = 0
         self.faults_active = ActiveFaults()
         self.second = SecondFaults(self, self.odd_entries)
+        self.route_changes = RouteChanges(self)
         self.sending = True
         # Ends the callers; wait_for() may swallow their cancellation.
         self.over = False
         self.tasks = set()
 
     def configure(self):
-        routes = [{"name": "plain", "host": "soak.example",
-                   "path_prefix": "/plain/", "service": "s", "priority": 1,
-                   "attempts": ATTEMPTS, "stretch": 3,
-                   "target_latency_ms": 2000},
-                  {"name": "asked", "host": "soak.example",
-                   "path_prefix": "/asked/", "service": "s", "priority": 0,
-                   "attempts": ATTEMPTS, "stretch": 3,
-                   "target_latency_ms": 1000,
-                   "advice": {"decide_ms": 10, "period_ms": 0.5,
-                              "valid_ms": 2500}}]
+        self.version += 1
         tenants = [{"name": "a", "api_keys": ["k-a"], "weight": 50},
                    {"name": "b", "api_keys": ["k-b"], "weight": 50,
                     "maximum": {"cpu": MAX_ACCOUNT_CPU}}]
         self.store.put("op", "config", {
-            "version": 1, "routes": routes, "services": [{"name": "s"}],
-            "tenants": tenants, "limits": {}})
+            "version": self.version, "routes": self.routes,
+            "services": [{"name": "s"}], "tenants": tenants, "limits": {}})
 
     async def start(self):
         self.configure()
@@ -413,7 +415,8 @@
                      [idle_check, *(KeptClient(self, it)
                                     for it in self.daemons * 3)]]
         load = asyncio.ensure_future(self.send_jobs())
-        await asyncio.gather(self.inject(until), self.second.inject(until))
+        await asyncio.gather(self.inject(until), self.second.inject(until),
+                             self.route_changes.inject(until))
         if self.second.calm_follows:
             await self.second.calm(CALM_S)
         self.sending = False
--- a/testing/soak/store.py
+++ b/testing/soak/store.py
@@ -10,6 +10,9 @@
 TRANSACTION_TIME_S = 0.006
 READ_TIME_S = 0.004
 MAX_ROWS = 500
+MAX_ENTRIES = 100
+# Of a value in base64.
+MAX_VALUE_BYTES = 65_536
 
 
 class Store:
@@ -50,6 +53,11 @@
         self.changed = asyncio.Event()
 
     def transact(self, body):
+        entries = sum(len(body[it])
+                      for it in ("precondition", "writes", "remove"))
+        if entries > MAX_ENTRIES or any(
+                len(it["value"]) > MAX_VALUE_BYTES for it in body["writes"]):
+            return 400, {}
         conflict = []
         for it in body["precondition"]:
             row = self.rows.get((it["table"], it["part"], it["key"]))
