Confirm leadership before a job is called unknown

Cause: queries and cancellations were answered from memory while the leader had authority, 2.5 s after its last confirmation; another daemon takes over earlier. Fencing tokens and the head row stop a stale leader's orders and writes, not this answer.

Ruled out: a job that the successor lost (others show it), a gateway that maps "not the leader" to 410.

Change: "unknown" waits for a transaction sent after the call arrived. A heartbeat of a later epoch ends leadership at once.

Why it works: if another daemon had taken over before the call, that transaction fails, leadership ends, and the gateway asks the next leader.

--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -57,6 +58,9 @@
     /// leadership_lost_handler.
     void release();
 
+    /// @brief Ends leadership, because another daemon has acquired it.
+    void superseded();
+
     /// @brief Handles a message about jobs; returns false, without a response,
     /// when this leader cannot answer it: the state is not loaded yet,
     /// leadership is being released, authority has expired, or the payload is
@@ -96,6 +100,14 @@
                    std::optional<member_record> successor);
     bool has_authority();
     bool submit(const std::string& payload, const aio::peer_responder& respond);
+    void query(const std::string& id, const aio::peer_responder& respond,
+               bool is_confirmed);
+    void cancel(const std::string& id, const aio::peer_responder& respond,
+                bool is_confirmed);
+    /// @brief Calls a function once the store has confirmed that this daemon
+    /// leads now.
+    void when_confirmed(std::function<void()> then);
+    void run_confirmed();
     /// Returns how long rejected callers should wait before they retry;
     /// std::nullopt while the store is considered available.
     std::optional<std::chrono::milliseconds> store_retry_after() const;
@@ -115,6 +127,13 @@
     boost::asio::steady_timer leadership_timer_;
     base::steady_time started_;
     base::steady_time next_status_;
+    /// A function that needs a confirmation later than `since`.
+    struct unconfirmed_call
+    {
+        base::steady_time since;
+        std::function<void()> then;
+    };
+    std::vector<unconfirmed_call> unconfirmed_;
     /// Member that takes over after a release.
     std::optional<member_record> successor_;
     stored_jobs stored_;
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -210,7 +210,8 @@
          planner_.next_commit(max_rows_per_commit, max_bytes_per_commit))
         add_change(changes, std::move(it));
     const bool renewal_due =
-        releasing_ || env_.clock.now() - log_->confirmed() >= renewal_interval;
+        releasing_ || !unconfirmed_.empty() ||
+        env_.clock.now() - log_->confirmed() >= renewal_interval;
     if (changes.changes_nothing() && !renewal_due)
         return;
     const bool releases = releasing_;
@@ -230,11 +231,12 @@
 void cell_leader::committed(log_result result)
 {
     if (result == log_result::superseded)
-        return step_down("another daemon holds leadership", {});
+        return superseded();
     if (planner_.commit_in_flight() && result == log_result::rejected)
         planner_.commit_rejected();
     else if (planner_.commit_in_flight())
         planner_.commit_done();
+    run_confirmed();
     // The transaction that was in flight when the release began does not
     // release leadership.
     if (releasing_ && !released_)
@@ -258,6 +260,11 @@
     pump_commits();
 }
 
+void cell_leader::superseded()
+{
+    step_down("another daemon holds leadership", {});
+}
+
 void cell_leader::check_leadership()
 {
     if (stopped_)
--- a/src/mustardwick/entry/cell_leader_calls.cpp
+++ b/src/mustardwick/entry/cell_leader_calls.cpp
@@ -1,6 +1,7 @@
 #include "mustardwick/entry/cell_leader.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include "mustardwick/wire/codec.hpp"
 
@@ -93,27 +94,72 @@
         respond(answer(out));
         return true;
     }
-    const auto query = wire::decode<job_query>(payload);
-    if (!query)
+    const auto call = wire::decode<job_query>(payload);
+    if (!call)
         return false;
     if (type == message_type::cancel_job)
-    {
-        planner_.cancel(
-            query->id,
-            [respond = calls_.track(respond)](dispatch::cancel_result result)
+        cancel(call->id, calls_.track(respond), false);
+    else
+        query(call->id, calls_.track(respond), false);
+    return true;
+}
+
+void cell_leader::query(const std::string& id,
+                        const aio::peer_responder& respond, bool is_confirmed)
+{
+    const auto state = planner_.state_of(id);
+    if (!state && !is_confirmed)
+        return when_confirmed(
+            [this, id, respond]
             {
-                const bool known = result == dispatch::cancel_result::cancelled;
-                respond(answer(
-                    {known ? reply_status::done : reply_status::unknown_job}));
+                query(id, respond, true);
             });
-        schedule_work();
-        return true;
-    }
-    const auto state = planner_.state_of(query->id);
     job_reply out{state ? reply_status::done : reply_status::unknown_job};
     out.state = state.value_or(jobs::job_state::queued);
     respond(answer(out));
-    return true;
+}
+
+void cell_leader::cancel(const std::string& id,
+                         const aio::peer_responder& respond, bool is_confirmed)
+{
+    planner_.cancel(
+        id,
+        [this, id, respond, is_confirmed](dispatch::cancel_result result)
+        {
+            const bool known = result == dispatch::cancel_result::cancelled;
+            if (!known && !is_confirmed)
+                return when_confirmed(
+                    [this, id, respond]
+                    {
+                        cancel(id, respond, true);
+                    });
+            respond(answer(
+                {known ? reply_status::done : reply_status::unknown_job}));
+        });
+    schedule_work();
+}
+
+void cell_leader::when_confirmed(std::function<void()> then)
+{
+    unconfirmed_.push_back({env_.clock.now(), std::move(then)});
+    schedule_work();
+}
+
+void cell_leader::run_confirmed()
+{
+    const auto confirmed = log_->confirmed();
+    const auto begin =
+        std::stable_partition(unconfirmed_.begin(), unconfirmed_.end(),
+                              [&](const auto& it)
+                              {
+                                  return it.since > confirmed;
+                              });
+    const std::vector<unconfirmed_call> ready(
+        std::make_move_iterator(begin),
+        std::make_move_iterator(unconfirmed_.end()));
+    unconfirmed_.erase(begin, unconfirmed_.end());
+    for (const auto& it : ready)
+        it.then();
 }
 
 } // namespace mustardwick::entry
--- a/src/mustardwick/entry/entry_node_peers.cpp
+++ b/src/mustardwick/entry/entry_node_peers.cpp
@@ -61,6 +61,9 @@
     {
         update_leader(heartbeat->epoch, heartbeat->leader,
                       {heartbeat->address, heartbeat->port});
+        // This daemon may have been stopped while another one took over.
+        if (leader && leader->epoch() < heartbeat->epoch)
+            leader->superseded();
         if (!leader)
             candidate->heartbeat_received();
         const auto& known = config->state().configuration;
--- a/src/mustardwick/entry/head_store_test.hpp
+++ b/src/mustardwick/entry/head_store_test.hpp
@@ -8,6 +8,7 @@
 #include <criterion/criterion.h>
 
 #include "mustardwick/aio/http_listener.hpp"
+#include "mustardwick/base/clock.hpp"
 #include "mustardwick/base/error.hpp"
 #include "mustardwick/base/log.hpp"
 #include "platform/store_client.hpp"
--- a/src/mustardwick/entry/state_log_test.cpp
+++ b/src/mustardwick/entry/state_log_test.cpp
@@ -95,11 +95,11 @@
 Test(state_log, tells_a_rejected_transaction_from_a_failing_store)
 {
     const std::array cases = {
-        log_case{store_fault::content_invalid, log_result::rejected, 2, 27420},
-        log_case{store_fault::content_refused, log_result::rejected, 6, 27421,
+        log_case{store_fault::content_invalid, log_result::rejected, 2, 27470},
+        log_case{store_fault::content_refused, log_result::rejected, 6, 27471,
                  milliseconds(1200)},
         log_case{store_fault::content_invalid_answers_lost,
-                 log_result::rejected, 2, 27422, milliseconds(5000)},
+                 log_result::rejected, 2, 27472, milliseconds(5000)},
     };
     for (const auto& it : cases)
     {
