Let steps without another host use suspect hosts while there is room

Cause: a quarantined host was out of use for every step, also for one that has no other host because of its label, or because the room on the others is fragmented.

Ruled out: more quarantined hosts than the bound (4 of 12).

Change: a step that no other host could take for 1 s may use suspect hosts, as the last choice and one task of it at a time on each, while at most 0.6 of the service's processors are in use.

Why it works: with room in the cell no step waits for a host that is only suspect; in a full cell, where a faulty host looks empty, the quarantine stands, which the same test checks.

--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -38,6 +38,8 @@
     int failed_run = 0;
     /// No task of the step is started again before this time.
     base::steady_time not_before;
+    /// Since when no host has been able to take any of the waiting tasks.
+    std::optional<base::steady_time> blocked_since;
 };
 
 /// @brief An applied end of a run whose effect is not yet committed.
--- a/include/mustardwick/dispatch/orders.hpp
+++ b/include/mustardwick/dispatch/orders.hpp
@@ -27,6 +27,8 @@
     std::int64_t deadline_ms = 0;
     /// The worker's incarnation that the order was decided for.
     std::int64_t worker_incarnation_start_ms = 0;
+    /// The host was chosen although it is suspect.
+    bool uses_suspect_host = false;
 };
 
 /// @brief Order to stop one run on a worker.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -363,10 +363,17 @@
     /// @brief Returns whether a host answers and is in service, regardless of
     /// refused orders and failed runs.
     bool may_run_work(const host_state& host) const;
+    bool is_in_service(const host_state& host, std::string_view service) const;
+    /// @brief Returns whether a host is in service and not quarantined.
     bool is_usable(const host_state& host, std::string_view service) const;
+    /// @brief Returns whether a step may use suspect hosts: no other host has
+    /// been able to take it for a while, though the service is not busy.
+    bool may_use_suspect_hosts(const ready_step& step) const;
     /// @brief Returns how many tasks of a step a host may run, regardless of
     /// its free capacity.
     int max_tasks_on(const host_state& host, const ready_step& step) const;
+    /// @brief Returns the number of a step's tasks that occupy a host.
+    static int count_tasks_on(const host_state& host, const ready_step& step);
     /// @brief Returns the free capacity of a host without what is reserved for
     /// other steps.
     policy::resources unreserved_capacity(const host_state& host,
@@ -423,6 +430,9 @@
     orders outbox_;
     /// Usable hosts by service; valid within one round.
     std::map<std::string, std::vector<host_state*>, std::less<>> round_hosts_;
+    /// Suspect hosts in service by service, quarantined ones included.
+    std::map<std::string, std::vector<host_state*>, std::less<>>
+        round_suspects_;
     std::map<std::string, processors, std::less<>> round_processors_;
     /// Processors that waiting gang steps need, in millicores.
     std::int64_t round_planned_millicpus_ = 0;
--- a/src/mustardwick/dispatch/host_quarantine_test.cpp
+++ b/src/mustardwick/dispatch/host_quarantine_test.cpp
@@ -1,6 +1,8 @@
 #include "planner_fixture_test.hpp"
 
+#include <array>
 #include <map>
+#include <optional>
 #include <set>
 
 #include <criterion/criterion.h>
@@ -168,3 +170,95 @@
     cell.commit();
     cr_assert_eq(cell.run_round().starts.size(), 1);
 }
+
+namespace
+{
+
+/// Runs rounds until a job starts; returns the worker, or nothing after 3 s.
+std::optional<std::string> start_within_3_s(failing_cell& cell,
+                                            std::string_view job,
+                                            std::string_view failing)
+{
+    std::vector<start_order> running;
+    for (int it = 0; it < 15; ++it)
+    {
+        for (const auto& order : running)
+            cell.fail(order);
+        running.clear();
+        for (const auto& order : cell.run_round().starts)
+        {
+            if (order.task.job == job)
+                return order.worker;
+            if (order.task.job.starts_with(failing))
+                running.push_back(order);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+struct blocked_case
+{
+    const char* name;
+    /// Of the tasks that run on the hosts that are not quarantined.
+    std::int64_t running_cores;
+    bool starts;
+};
+
+// Guards against a job that could run and waits for quarantined hosts while the
+// others are fragmented (hosted-soak seeds 385 and 55), and against faulty
+// hosts that take the backlog of a full cell.
+Test(host_quarantine, holds_up_no_job_in_a_cell_that_is_not_full)
+{
+    const std::array cases = {
+        blocked_case{"fragmented", 20, true},
+        blocked_case{"full", 31, false},
+    };
+    for (const auto& it : cases)
+    {
+        failing_cell cell;
+        for (const auto& order : cell.fill("j"))
+            if (order.worker == "w0" || order.worker == "w1")
+                cell.fail(order);
+            else
+                cell.succeed(order);
+        for (int n = 0; n < hosts * 4; ++n)
+            cell.plan.cancel("j" + std::to_string(n), [](cancel_result) {});
+        for (int n = 0; n < 4; ++n)
+            cell.submit(make_job("big" + std::to_string(n), "urgent",
+                                 {make_step(1, it.running_cores)}));
+        cr_assert_eq(cell.run_round().starts.size(), 4);
+        cell.submit(make_job("sound", "plain", {make_step(1, 16)}));
+        const auto worker = start_within_3_s(cell, "sound", "j");
+        cr_assert_eq(worker.has_value(), it.starts, "%s", it.name);
+        if (worker)
+            cr_assert(*worker == "w0" || *worker == "w1", "%s", it.name);
+    }
+}
+
+// Guards against a job that is held up because jobs that always fail have had
+// the only host with its label quarantined (review/4).
+Test(host_quarantine, holds_up_no_job_on_its_only_host)
+{
+    failing_cell cell;
+    jobs::worker_info info;
+    info.id = "only";
+    info.service = "s";
+    info.failure_domain = "z";
+    info.capacity = {host_cores * 1000, 64'000, 0};
+    info.labels = {"b"};
+    cell.plan.worker_listed(info);
+    cell.report(info.id);
+    auto step = make_step(1, 1);
+    step.required_label = "b";
+    auto configuration = make_configuration();
+    configuration.queues["plain"].attempts = 100;
+    cell.plan.set_configuration(configuration);
+    for (int it = 0; it < 6; ++it)
+        cell.submit(make_job("bad" + std::to_string(it), "plain", {step}));
+    for (const auto& order : cell.run_round().starts)
+        cell.fail(order);
+    cell.submit(make_job("sound", "plain", {step}));
+    cr_assert_eq(start_within_3_s(cell, "sound", "bad"), "only");
+}
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -307,8 +307,11 @@
         const auto* queue = job == nullptr ? nullptr : context_of(*job).queue;
         // The host or the ticket may have become invalid since the host was
         // chosen.
-        if (queue == nullptr || !is_usable(host, queue->service) ||
-            order.ticket_expires < clock_.now() + order_latency)
+        const bool is_valid =
+            queue != nullptr &&
+            (order.uses_suspect_host ? is_in_service(host, queue->service)
+                                     : is_usable(host, queue->service));
+        if (!is_valid || order.ticket_expires < clock_.now() + order_latency)
         {
             run_lost(host, it->first, "host or ticket is no longer valid");
             continue;
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -25,6 +25,10 @@
 /// share of a service's processors is in use; below half, every task that fits
 /// has to start.
 constexpr double busy_share = 0.6;
+/// In a full cell, faulty hosts look empty and would take every waiting task.
+/// Otherwise a step that fits nowhere else may use suspect hosts after this
+/// time: the work may be at fault, not the host.
+constexpr milliseconds suspect_host_delay{1000};
 /// Number of hosts that a job's objective assumes for the advice query of a
 /// step.
 constexpr int hosts_in_objective = 30;
@@ -108,12 +112,25 @@
            !evacuated_.contains(host.info.failure_domain);
 }
 
-bool planner::is_usable(const host_state& host, std::string_view service) const
+bool planner::is_in_service(const host_state& host,
+                            std::string_view service) const
 {
-    const auto now = clock_.now();
     return may_run_work(host) && host.info.service == service &&
-           host.avoid_until <= now &&
-           !(is_suspect(host) && now < host.quarantined_until);
+           host.avoid_until <= clock_.now();
+}
+
+bool planner::is_usable(const host_state& host, std::string_view service) const
+{
+    return is_in_service(host, service) &&
+           !(is_suspect(host) && clock_.now() < host.quarantined_until);
+}
+
+bool planner::may_use_suspect_hosts(const ready_step& step) const
+{
+    const auto& blocked_since = step.state().blocked_since;
+    return blocked_since &&
+           clock_.now() - *blocked_since >= suspect_host_delay &&
+           !is_busy(step.queue->service);
 }
 
 std::int64_t planner::objective_of(const job_run& job, const jobs::queue& queue)
@@ -237,6 +254,7 @@
 {
     const auto started = clock_.now();
     round_hosts_.clear();
+    round_suspects_.clear();
     round_processors_.clear();
     round_planned_millicpus_ = 0;
     round_preemption_searches_ = 0;
@@ -253,9 +271,11 @@
             round_.unreachable_hosts += host.reachable ? 0 : 1;
             round_.suspect_hosts += is_suspect(host) ? 1 : 0;
         }
+        if (is_suspect(host) && is_in_service(host, host.info.service))
+            round_suspects_[host.info.service].push_back(&host);
+        host.reserved = {};
         if (!is_usable(host, host.info.service))
             continue;
-        host.reserved = {};
         processors.usable += host.info.capacity.millicpus;
         round_hosts_[host.info.service].push_back(&host);
         ++round_.usable_hosts;
@@ -326,27 +346,39 @@
         std::find(labels.begin(), labels.end(), spec.required_label) ==
             labels.end())
         return 0;
-    // A host on probation gets one task at a time until one succeeds.
+    // A host on probation gets one task at a time until one succeeds; a step
+    // that has no other host is not held up by the tasks of others there.
     int n = step.waiting;
     if (is_suspect(host))
-        n = has_runs_since(host, host.quarantined_until) ? 0 : 1;
+    {
+        const bool is_occupied =
+            may_use_suspect_hosts(step)
+                ? count_tasks_on(host, step) > 0
+                : has_runs_since(host, host.quarantined_until);
+        n = is_occupied ? 0 : 1;
+    }
     // Tasks that use idle CPU time can slow a latency-sensitive neighbour past
     // its target; they are not placed on its host.
     if (spec.uses_idle_cpu && has_latency_sensitive_runs(host))
         return 0;
     if (spec.max_per_host > 0)
-    {
-        int already_there = 0;
-        for (const auto& [key, it] : host.runs)
-            if (it.task.job == step.job->specification.id &&
-                it.task.occurrence == step.occurrence() &&
-                it.task.step == step.step)
-                ++already_there;
-        n = std::min(n, spec.max_per_host - already_there);
-    }
+        n = std::min(n, spec.max_per_host - count_tasks_on(host, step));
     return std::max(n, 0);
 }
 
+int planner::count_tasks_on(const host_state& host, const ready_step& step)
+{
+    return int(std::count_if(host.runs.begin(), host.runs.end(),
+                             [&](const auto& entry)
+                             {
+                                 const auto& task = entry.second.task;
+                                 return task.job ==
+                                            step.job->specification.id &&
+                                        task.occurrence == step.occurrence() &&
+                                        task.step == step.step;
+                             }));
+}
+
 policy::resources planner::unreserved_capacity(const host_state& host,
                                                const ready_step& step) const
 {
@@ -383,17 +415,17 @@
     const bool tickets_only = step.queue->advice && !may_query(step);
     const auto with_tickets =
         tickets_only ? allowed_hosts(step) : std::vector<host_state*>();
-    for (auto* host :
-         tickets_only ? with_tickets : round_hosts_[step.queue->service])
+    const auto examine = [&](host_state* host)
     {
         if (state.access.is_denied(host->index))
-            continue;
+            return;
         ++round_.hosts_examined;
         candidate it;
         it.slots = slots_on(*host, step);
         if ((it.slots == 0 && !reserves) || has_failed_on(step, *host))
-            continue;
+            return;
         it.host = host;
+        it.is_quarantined = !is_usable(*host, step.queue->service);
         it.is_held = host->held_until > now &&
                      host->held_for != step.job->specification.id;
         it.runs_idle_cpu_work =
@@ -408,17 +440,26 @@
                 it.ticket->expires < now + ticket_reserve)
             {
                 unknown.push_back(it);
-                continue;
+                return;
             }
         }
         if (it.slots > 0)
             allowed.push_back(it);
-    }
+    };
+    for (auto* host :
+         tickets_only ? with_tickets : round_hosts_[step.queue->service])
+        examine(host);
+    if (!tickets_only && may_use_suspect_hosts(step))
+        for (auto* host : round_suspects_[step.queue->service])
+            if (!is_usable(*host, step.queue->service))
+                examine(host);
     // Best fit keeps large gaps for large tasks.
     std::stable_sort(
         allowed.begin(), allowed.end(),
         [](const auto& left, const auto& right)
         {
+            if (left.is_quarantined != right.is_quarantined)
+                return right.is_quarantined;
             if (left.near_data != right.near_data)
                 return left.near_data;
             if (left.is_held != right.is_held)
@@ -450,12 +491,17 @@
     for (const auto& it : allowed)
         free_slots += it.slots;
     const int missing = affordable - std::min(affordable, free_slots);
+    const bool has_hosts_to_query =
+        step.queue->advice && (!unknown.empty() || !may_query(step));
     if (missing > 0 && !unknown.empty())
         query_advice(step, std::move(unknown), missing);
     if (free_slots < affordable)
         ++round_.without_capacity;
     if (free_slots == 0 || (spec.is_gang && free_slots < affordable))
     {
+        if (!has_hosts_to_query)
+            step.state().blocked_since =
+                step.state().blocked_since.value_or(clock_.now());
         preempt_to_fit(step);
         reserve_capacity(step);
         return false;
@@ -480,6 +526,7 @@
         if (--left_here == 0 && ++at < allowed.size())
             left_here = allowed[at].slots;
     }
+    step.state().blocked_since.reset();
     mark_dirty(*step.job);
     return placed == affordable;
 }
@@ -529,6 +576,7 @@
     order.run = run;
     order.payload = job.specification.payload;
     order.checkpoint = record.checkpoint;
+    order.uses_suspect_host = where.is_quarantined;
     if (where.ticket != nullptr)
     {
         order.ticket = where.ticket->ticket;
--- a/src/mustardwick/dispatch/planner_preemption.cpp
+++ b/src/mustardwick/dispatch/planner_preemption.cpp
@@ -63,11 +63,13 @@
 std::vector<host_state*> planner::allowed_hosts(const ready_step& step)
 {
     std::vector<host_state*> out;
+    const bool includes_suspects = may_use_suspect_hosts(step);
     for (const auto& [index, ticket] : step.state().access.tickets())
     {
         auto* host = host_at_[index];
         if (host != nullptr && !has_failed_on(step, *host) &&
-            is_usable(*host, step.queue->service))
+            (includes_suspects ? is_in_service(*host, step.queue->service)
+                               : is_usable(*host, step.queue->service)))
             out.push_back(host);
     }
     return out;
--- a/src/mustardwick/dispatch/ready_step.hpp
+++ b/src/mustardwick/dispatch/ready_step.hpp
@@ -23,6 +23,7 @@
     bool near_data = false;
     /// Held for the advice query of another job.
     bool is_held = false;
+    bool is_quarantined = false;
     /// A latency-sensitive task would stop runs that use idle CPU time there.
     bool runs_idle_cpu_work = false;
 };
