Start work that uses idle CPU time beside latency-sensitive tasks

Cause: placement allowed no such task on a host with a latency-sensitive one, whatever the load, because nothing watched what it does to its neighbours.

Evidence: long_running.shares_hosts_with_idle_cpu_work_while_targets_are_met failed on (no start within 4 s). Ruled out: a task that is placed and stopped again.

Change: after 1 s without another host such a task may run beside latency-sensitive ones whose tail latency is at most half their target, one on a host. Each report is checked; above 0.8 of a target these tasks are stopped there and kept away for 15 s.

Why it works: the task is started where there is room, and the reason for the exclusion, a neighbour past its target, is acted on when it shows. The limits are not measured: no deployment in force has such tasks.

--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -41,12 +41,21 @@
     int run = 0;
     policy::resources size;
     std::string account;
-    /// Serves users; never shares a host with tasks that use idle CPU time.
-    bool latency_sensitive = false;
+    /// Bound on the tail latency of a task that serves users; 0 for others.
+    std::int64_t target_ms = 0;
+    /// Tail latency in the last report, in milliseconds, if the task serves
+    /// users.
+    std::int64_t tail_ms = 0;
     /// Uses only CPU time that other tasks leave idle.
     bool uses_idle_cpu = false;
     /// Runs until its job is cancelled.
     bool long_running = false;
+
+    bool is_latency_sensitive() const
+    {
+        return target_ms > 0;
+    }
+
     run_phase phase = run_phase::recording;
     /// Number of the last report of its host that listed the run.
     std::uint64_t listed_in = 0;
@@ -115,6 +124,10 @@
     /// excluded.
     bool exempt_from_quarantine = false;
 
+    /// No task that uses idle CPU time starts here beside latency-sensitive
+    /// ones before this time, after one of these came close to its target.
+    base::steady_time idle_cpu_avoid_until;
+
     policy::resources free() const
     {
         return info.capacity - used;
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -385,9 +385,21 @@
     policy::waiting_step urgency_inputs(job_run& job);
     void assign(const ready_step& step, int index, int run,
                 const candidate& where);
+    // planner_idle_cpu.cpp
     /// @brief Stops the runs that use idle CPU time on a host, because a
-    /// latency-sensitive task is assigned there.
-    void stop_idle_cpu_runs(host_state& host);
+    /// latency-sensitive task is assigned there or needs the processors.
+    void stop_idle_cpu_runs(host_state& host, std::string_view reason);
+    /// @brief Returns whether a task that uses idle CPU time may run beside the
+    /// latency-sensitive ones of a host: no other host has been able to take it
+    /// for a while, it is the only one of its kind there, and they are far
+    /// from their targets.
+    bool may_share_idle_cpu(const host_state& host,
+                            const ready_step& step) const;
+    /// @brief Stops the runs that use idle CPU time on a host when a
+    /// latency-sensitive one there comes close to its target.
+    void protect_targets(host_state& host);
+
+    // planner_place.cpp
     /// @brief Returns whether a task of a step failed on a host recently.
     bool has_failed_on(const ready_step& step, const host_state& host) const;
     void hold_hosts(const advice_query& query);
--- a/src/mustardwick/dispatch/long_running_test.cpp
+++ b/src/mustardwick/dispatch/long_running_test.cpp
@@ -119,3 +119,57 @@
     for (const auto& it : out.stops)
         cr_assert_eq(it.task.job, "batch");
 }
+
+struct tail_case
+{
+    std::int64_t tail_ms;
+    bool shares;
+};
+
+// Guards against a task that uses idle CPU time and is never started once each
+// host has a latency-sensitive task (review/5), and against one that slows such
+// a task past its target.
+Test(long_running, shares_hosts_with_idle_cpu_work_while_targets_are_met)
+{
+    const std::array cases = {tail_case{0, true}, tail_case{90, true},
+                              tail_case{130, false}};
+    for (const auto& it : cases)
+    {
+        planner_fixture cell(1);
+        auto serving = make_long_running_step(1, 4);
+        serving.target_ms = 200;
+        cell.submit(make_job("service", "plain", {serving}));
+        const auto service = cell.run_round().starts.at(0);
+        auto batch = make_step(3, 4);
+        batch.uses_idle_cpu = true;
+        cell.submit(make_job("batch", "plain", {batch}));
+        std::vector<jobs::running_run> listed = {
+            {service.task, service.run, "", it.tail_ms}};
+        std::vector<start_order> starts;
+        for (int n = 0; n < 20 && starts.empty(); ++n)
+        {
+            cell.report("w0", listed);
+            starts = cell.run_round().starts;
+        }
+        cr_assert_eq(starts.size(), it.shares ? 1 : 0, "%d ms",
+                     int(it.tail_ms));
+        if (!it.shares)
+            continue;
+        listed.push_back({starts[0].task, starts[0].run, "", 0});
+        cell.report("w0", listed);
+        cr_assert(cell.round().stops.empty());
+        listed[0].load = 170;
+        cell.report("w0", listed);
+        const auto stops = cell.round().stops;
+        cr_assert_eq(stops.size(), 1);
+        cr_assert_eq(stops[0].task.job, "batch");
+        cell.report("w0", {{service.task, service.run, "", 20}},
+                    {{1, starts[0].task, starts[0].run,
+                      jobs::run_outcome::stopped, ""}});
+        for (int n = 0; n < 20; ++n)
+        {
+            cell.report("w0", {{service.task, service.run, "", 20}});
+            cr_assert(cell.run_round().starts.empty());
+        }
+    }
+}
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -94,7 +94,7 @@
     return std::any_of(host.runs.begin(), host.runs.end(),
                        [](const auto& it)
                        {
-                           return it.second.latency_sensitive;
+                           return it.second.is_latency_sensitive();
                        });
 }
 
@@ -358,9 +358,9 @@
         n = is_occupied ? 0 : 1;
     }
     // Tasks that use idle CPU time can slow a latency-sensitive neighbour past
-    // its target; they are not placed on its host.
+    // its target; its host is their last choice.
     if (spec.uses_idle_cpu && has_latency_sensitive_runs(host))
-        return 0;
+        n = may_share_idle_cpu(host, step) ? std::min(n, 1) : 0;
     if (spec.max_per_host > 0)
         n = std::min(n, spec.max_per_host - count_tasks_on(host, step));
     return std::max(n, 0);
@@ -531,22 +531,6 @@
     return placed == affordable;
 }
 
-void planner::stop_idle_cpu_runs(host_state& host)
-{
-    std::vector<run_key> recording;
-    for (auto& [key, it] : host.runs)
-    {
-        if (!it.uses_idle_cpu || it.phase == run_phase::stopping)
-            continue;
-        if (it.phase == run_phase::recording)
-            recording.push_back(key);
-        else
-            stop_run(host, it);
-    }
-    for (const auto& key : recording)
-        run_lost(host, key, "a latency-sensitive task uses the host");
-}
-
 bool planner::has_failed_on(const ready_step& step,
                             const host_state& host) const
 {
@@ -561,7 +545,7 @@
     auto& host = *where.host;
     auto& job = *step.job;
     if (step.spec().target_ms > 0)
-        stop_idle_cpu_runs(host);
+        stop_idle_cpu_runs(host, "a latency-sensitive task uses the host");
     auto& record = step.tasks()[std::size_t(index)];
     record.state = jobs::task_state::assigned;
     record.run = run;
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -83,6 +83,7 @@
         if (it.number > host.last_applied_end)
             apply_end(host, it);
     reconcile_with_report(host, report);
+    protect_targets(host);
 }
 
 void planner::reconcile_listed_run(host_state& host,
@@ -114,6 +115,7 @@
     auto& run = it->second;
     run.confirmed = true;
     run.listed_in = host.report;
+    run.tail_ms = run.is_latency_sensitive() ? listed.load : 0;
     if (!listed.checkpoint.empty())
         run.checkpoint = listed.checkpoint;
     const bool ran_well = run.phase == run_phase::started && run.long_running &&
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -92,7 +92,7 @@
     it.run = run;
     it.size = charged_size(step);
     it.account = job.specification.account;
-    it.latency_sensitive = step.target_ms > 0;
+    it.target_ms = step.target_ms;
     it.uses_idle_cpu = step.uses_idle_cpu;
     it.long_running = step.long_running;
     it.phase = phase;
