--- a/src/mustardwick/entry/settings.cpp
+++ b/src/mustardwick/entry/settings.cpp
@@ -1,5 +1,7 @@
 #include "mustardwick/entry/settings.hpp"
 
+#include <cmath>
+
 #include "mustardwick/base/error.hpp"
 #include "mustardwick/base/json.hpp"
 
@@ -21,11 +23,22 @@
     return out.value_or(wire::endpoint{});
 }
 
+/// Reads a number of milliseconds or seconds, which may have a fraction.
 milliseconds read_duration(base::object_reader& reader, const char* name,
-                           milliseconds fallback)
+                           milliseconds fallback, milliseconds unit)
 {
-    return milliseconds{
-        reader.number(name, fallback.count(), 0, max_duration_ms)};
+    const auto* value = reader.raw(name);
+    if (value == nullptr)
+        return fallback;
+    const auto max = double(max_duration_ms) / double(unit.count());
+    if (value->is_number() && value->as_double() >= 0 &&
+        value->as_double() <= max)
+        return milliseconds(
+            std::llround(value->as_double() * double(unit.count())));
+    reader.report(name, value->serialize(),
+                  "give a number from 0 to " +
+                      std::to_string(max_duration_ms / unit.count()));
+    return fallback;
 }
 
 cell_limits read_limits(const web::json::value& value,
@@ -33,15 +46,20 @@
 {
     base::object_reader reader(value, "limits", errors);
     cell_limits out;
-    out.max_lease = read_duration(reader, "max_lease_ms", out.max_lease);
-    out.config_apply =
-        read_duration(reader, "config_apply_ms", out.config_apply);
-    out.grace = read_duration(reader, "grace_ms", out.grace);
-    out.retention = read_duration(reader, "retention_ms", out.retention);
-    out.stop_grace = read_duration(reader, "stop_grace_ms", out.stop_grace);
-    out.early_start = read_duration(reader, "early_start_ms", out.early_start);
-    out.leadership_lease =
-        read_duration(reader, "duty_lease_ms", out.leadership_lease);
+    const auto read = [&](const char* name, milliseconds& field,
+                          milliseconds unit = milliseconds(1))
+    {
+        field = read_duration(reader, name, field, unit);
+    };
+    read("max_lease_ms", out.max_lease);
+    read("config_apply_ms", out.config_apply);
+    read("grace_ms", out.grace);
+    read("grace_s", out.grace, std::chrono::seconds(1));
+    read("retention_ms", out.retention);
+    read("retention_s", out.retention, std::chrono::seconds(1));
+    read("stop_grace_ms", out.stop_grace);
+    read("early_start_ms", out.early_start);
+    read("duty_lease_ms", out.leadership_lease);
     reader.finish();
     return out;
 }
