Assign a task again when its worker restarts during the commit

Cause: the incarnation was entered in the order when it was released, so that it always matched. It is entered when the host is chosen now, and compared at release.

planner.assigns_again_when_a_worker_restarts_during_the_commit failed on: an order for 8 cores went to an incarnation with 4.

--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -307,8 +307,10 @@
         const auto* queue = job == nullptr ? nullptr : context_of(*job).queue;
         // The host or the ticket may have become invalid since the host was
         // chosen.
+        // A new incarnation may have another capacity and other labels.
         const bool is_valid =
             queue != nullptr &&
+            order.worker_incarnation_start_ms == host.incarnation_start_ms &&
             (order.uses_suspect_host ? is_in_service(host, queue->service)
                                      : is_usable(host, queue->service));
         if (!is_valid || order.ticket_expires < clock_.now() + order_latency)
@@ -318,7 +320,6 @@
         }
         order.deadline_ms =
             estimated_clock(host) + options_.start_validity.count();
-        order.worker_incarnation_start_ms = host.incarnation_start_ms;
         it->second.phase = run_phase::ordered;
         it->second.order_expiry_ms = order.deadline_ms;
         host.lease_bound =
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -560,6 +560,7 @@
     order.run = run;
     order.payload = job.specification.payload;
     order.checkpoint = record.checkpoint;
+    order.worker_incarnation_start_ms = host.incarnation_start_ms;
     order.uses_suspect_host = where.is_quarantined;
     if (where.ticket != nullptr)
     {
--- a/src/mustardwick/dispatch/worker_incarnation_test.cpp
+++ b/src/mustardwick/dispatch/worker_incarnation_test.cpp
@@ -26,6 +26,34 @@
     cr_assert_eq(cell.round().starts.size(), 1);
 }
 
+// Guards against a start on a worker that came back with less capacity while
+// the assignment was being committed.
+Test(planner, assigns_again_when_a_worker_restarts_during_the_commit)
+{
+    for (const std::int64_t cores : {host_cores, std::int64_t(4)})
+    {
+        planner_fixture cell(1);
+        cell.submit(make_job("j", "plain", {make_step(1, 8)}));
+        cell.clock.advance(milliseconds(200));
+        cell.plan.take_orders({});
+        cr_assert_not(cell.plan.next_commit(96, 600'000).empty());
+        jobs::worker_info info;
+        info.id = "w0";
+        info.service = "s";
+        info.failure_domain = "z";
+        info.capacity = {cores * 1000, 64'000, 0};
+        info.incarnation_start_ms = incarnation_start + 1;
+        cell.plan.worker_listed(info);
+        cell.report("w0", {}, {}, incarnation_start + 1);
+        cell.plan.commit_done();
+        cr_assert(cell.plan.take_orders({}).starts.empty());
+        const auto starts = cell.round().starts;
+        cr_assert_eq(starts.size(), cores == host_cores ? 1 : 0);
+        for (const auto& it : starts)
+            cr_assert_eq(it.worker_incarnation_start_ms, incarnation_start + 1);
+    }
+}
+
 // Guards against a task that never runs again because the reply to the stop of
 // its former run was lost (hosted-soak seed 55).
 Test(planner, repeats_stops_that_were_not_answered)
