Move the choice of hosts out of planner_place.cpp, and please clang

The types of changes to be stored are outside the planner, because clang 14 cannot use a nested type with default values in an std::optional of its class.

--- a/include/mustardwick/dispatch/accepted_queues.hpp
+++ b/include/mustardwick/dispatch/accepted_queues.hpp
@@ -37,7 +37,7 @@
 
     /// @brief Replaces all entries by stored ones, which configure() has to
     /// follow.
-    void restore(std::map<std::string, jobs::queue> stored);
+    void restore(const std::map<std::string, jobs::queue>& stored);
 
     /// @brief Takes over a new configuration. Returns the former and the new
     /// key of each queue whose key names another queue now.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -18,6 +18,7 @@
 #include "mustardwick/dispatch/orders.hpp"
 #include "mustardwick/dispatch/progress_blocks.hpp"
 #include "mustardwick/dispatch/row_change.hpp"
+#include "mustardwick/dispatch/unfinished_change.hpp"
 #include "mustardwick/jobs/configuration.hpp"
 #include "mustardwick/policy/failure_attribution.hpp"
 #include "mustardwick/policy/urgency.hpp"
@@ -110,7 +111,7 @@
                  std::map<std::string, std::string, std::less<>> blocks = {});
     /// @brief Restores the queues of the jobs that a former leader persisted;
     /// only then rows of queues are written.
-    void restore_queues(std::map<std::string, jobs::queue> stored);
+    void restore_queues(const std::map<std::string, jobs::queue>& stored);
     /// @brief Removes rows that belong to no job.
     void discard(std::vector<row_change> removals);
     void worker_listed(const jobs::worker_info& info);
@@ -204,29 +205,6 @@
     }
 
 private:
-    /// Effects of a job's change; they are released when all its rows are
-    /// durable.
-    struct job_effects
-    {
-        std::string job;
-        jobs::job_state state = jobs::job_state::queued;
-        bool removed = false;
-        bool specification_was_stored = false;
-        /// Blocks that the change writes or removes.
-        std::vector<std::string> blocks;
-        std::vector<start_order> starts;
-        std::vector<uncommitted_end> ends;
-        std::vector<pending_reply> replies;
-    };
-    /// A change of which some rows are not part of any transaction yet.
-    struct unfinished_change
-    {
-        std::deque<row_change> rows;
-        /// std::nullopt for rows that belong to no job.
-        std::optional<job_effects> effects;
-        /// Some of its rows are part of a transaction.
-        bool started = false;
-    };
     /// Processors of a service's hosts, in millicores.
     struct processors
     {
@@ -348,18 +326,20 @@
     // planner_place.cpp
     void place_waiting_steps();
     std::vector<ready_step> collect_ready_steps();
-    bool can_use_advice(const ready_step& step);
-    /// @brief Returns whether an advice query may be sent for a step now.
-    bool may_query(const ready_step& step) const;
     /// @brief Returns false when the step has to wait for capacity or advice.
     bool place_step(const ready_step& step);
     /// @brief Returns whether most processors of a service's hosts are in use.
     bool is_busy(std::string_view service) const;
     processors processors_of(std::string_view service) const;
-    std::vector<candidate> find_candidates(const ready_step& step,
-                                           std::vector<candidate>& unknown);
     const job_context& context_of(job_run& job);
     int tasks_within_maximum(job_run& job, const policy::resources& size);
+    static std::int64_t objective_of(const job_run& job,
+                                     const jobs::queue& queue);
+    policy::waiting_step urgency_inputs(job_run& job);
+    void assign(const ready_step& step, int index, int run,
+                const candidate& where);
+
+    // planner_hosts.cpp
     /// @brief Returns whether a host answers and is in service, regardless of
     /// refused orders and failed runs.
     bool may_run_work(const host_state& host) const;
@@ -380,11 +360,11 @@
                                           const ready_step& step) const;
     /// @brief Returns the number of tasks of a step that fit on a host now.
     int slots_on(const host_state& host, const ready_step& step) const;
-    static std::int64_t objective_of(const job_run& job,
-                                     const jobs::queue& queue);
-    policy::waiting_step urgency_inputs(job_run& job);
-    void assign(const ready_step& step, int index, int run,
-                const candidate& where);
+    /// @brief Returns whether a task of a step failed on a host recently.
+    bool has_failed_on(const ready_step& step, const host_state& host) const;
+    std::vector<candidate> find_candidates(const ready_step& step,
+                                           std::vector<candidate>& unknown);
+
     // planner_idle_cpu.cpp
     /// @brief Stops the runs that use idle CPU time on a host, because a
     /// latency-sensitive task is assigned there or needs the processors.
@@ -399,9 +379,10 @@
     /// latency-sensitive one there comes close to its target.
     void protect_targets(host_state& host);
 
-    // planner_place.cpp
-    /// @brief Returns whether a task of a step failed on a host recently.
-    bool has_failed_on(const ready_step& step, const host_state& host) const;
+    // planner_advice.cpp
+    bool can_use_advice(const ready_step& step);
+    /// @brief Returns whether an advice query may be sent for a step now.
+    bool may_query(const ready_step& step) const;
     void hold_hosts(const advice_query& query);
     void send_query(const ready_step& step, std::vector<std::string> workers);
     /// @brief Removes the hosts that a gang step's query should not cover, and
--- a/include/mustardwick/entry/state_log.hpp
+++ b/include/mustardwick/entry/state_log.hpp
@@ -88,7 +88,7 @@
 
     void send();
     copy_kind next_copy() const;
-    void answered(durable::store_reply reply, base::steady_time sent,
+    void answered(const durable::store_reply& reply, base::steady_time sent,
                   copy_kind copy);
     void conflicted(const durable::store_reply& reply, base::steady_time sent);
     void probe_succeeded(std::int64_t version, base::steady_time sent);
--- a/src/mustardwick/dispatch/accepted_queues.cpp
+++ b/src/mustardwick/dispatch/accepted_queues.cpp
@@ -43,12 +43,12 @@
 
 } // namespace
 
-void accepted_queues::restore(std::map<std::string, jobs::queue> stored)
+void accepted_queues::restore(const std::map<std::string, jobs::queue>& stored)
 {
     entries_.clear();
     changed_.clear();
-    for (auto& [key, terms] : stored)
-        entries_.emplace(key, entry{std::move(terms), false});
+    for (const auto& [key, terms] : stored)
+        entries_.emplace(key, entry{terms, false, false});
 }
 
 accepted_queues::renamed_keys
@@ -78,7 +78,7 @@
             changed_.insert(alias);
             renamed.emplace_back(name, std::move(alias));
         }
-        entries_.emplace(name, entry{queue, true});
+        entries_.emplace(name, entry{queue, true, false});
         changed_.insert(name);
     }
     return renamed;
--- a/src/mustardwick/dispatch/accepted_queues_test.cpp
+++ b/src/mustardwick/dispatch/accepted_queues_test.cpp
@@ -195,7 +195,7 @@
                                                              ? row.progress
                                                              : latest->second));
         }
-        plan.restore_queues(std::move(queues));
+        plan.restore_queues(queues);
     }
 
     /// Commits at most the given number of transactions.
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -39,7 +39,7 @@
 
 } // namespace
 
-planner::unfinished_change planner::encode_change(job_run& job)
+unfinished_change planner::encode_change(job_run& job)
 {
     const auto& id = job.specification.id;
     // A successor needs the sizes of runs that are still being stopped.
--- a/src/mustardwick/dispatch/planner_queues.cpp
+++ b/src/mustardwick/dispatch/planner_queues.cpp
@@ -23,9 +23,9 @@
 
 } // namespace
 
-void planner::restore_queues(std::map<std::string, jobs::queue> stored)
+void planner::restore_queues(const std::map<std::string, jobs::queue>& stored)
 {
-    queues_.restore(std::move(stored));
+    queues_.restore(stored);
     queues_restored_ = true;
     follow_configuration();
 }
--- a/src/mustardwick/entry/cell_leader_load.cpp
+++ b/src/mustardwick/entry/cell_leader_load.cpp
@@ -110,7 +110,7 @@
                          it.split, std::move(it.blocks));
     }
     planner_.discard(std::move(orphans));
-    planner_.restore_queues(std::move(stored_queues_));
+    planner_.restore_queues(stored_queues_);
     log_event(
         log_level::info, "leader", "state_loaded",
         {{"jobs", stored.size()}, {"active", active}, {"epoch", head_.epoch}});
--- a/src/mustardwick/entry/gateway.cpp
+++ b/src/mustardwick/entry/gateway.cpp
@@ -173,7 +173,7 @@
     job->arrived_ms = std::chrono::duration_cast<milliseconds>(
                           clock_.wall().time_since_epoch())
                           .count();
-    auto specification = wire::encode(*job);
+    const auto specification = wire::encode(*job);
     if (specification.size() > max_specification_bytes)
     {
         log_event(log_level::warning, "gateway", "job_refused",
@@ -186,7 +186,7 @@
                 " bytes, at most " + std::to_string(max_specification_bytes) +
                 " can be stored"));
     }
-    call_(message_type::submit_job, std::move(specification), context.deadline,
+    call_(message_type::submit_job, specification, context.deadline,
           [context](leader_result result)
           {
               if (result.reply &&
--- a/src/mustardwick/entry/state_log.cpp
+++ b/src/mustardwick/entry/state_log.cpp
@@ -102,11 +102,11 @@
     const auto copy = next_copy();
     store_.commit(copy == copy_kind::probe ? probe_ : current_, answer_timeout,
                   [self = shared_from_this(), sent, copy,
-                   number = commit_number_](durable::store_reply reply)
+                   number = commit_number_](const durable::store_reply& reply)
                   {
                       if (!self->stopped_ && self->busy_ &&
                           self->commit_number_ == number)
-                          self->answered(std::move(reply), sent, copy);
+                          self->answered(reply, sent, copy);
                   });
     const bool outage =
         failing_since_ && sent - *failing_since_ > outage_timeout;
@@ -130,8 +130,8 @@
     confirmed_ = sent;
 }
 
-void state_log::answered(durable::store_reply reply, base::steady_time sent,
-                         copy_kind copy)
+void state_log::answered(const durable::store_reply& reply,
+                         base::steady_time sent, copy_kind copy)
 {
     using durable::store_outcome;
     if (reply.end == store_outcome::conflict)
