Store the rows of queues again after a rejection

A transaction that holds only rows of queues and is rejected was forgotten; a later leader could then not know the queue of a job. Removals of a job's blocks are known to be pending when their transaction is rejected.

--- a/include/mustardwick/dispatch/accepted_queues.hpp
+++ b/include/mustardwick/dispatch/accepted_queues.hpp
@@ -64,6 +64,13 @@
         return std::exchange(changed_, {});
     }
 
+    /// @brief Lets take_changes() return all keys.
+    void mark_all_changed()
+    {
+        for (const auto& [key, value] : entries_)
+            changed_.insert(key);
+    }
+
 private:
     std::string unused_alias(const std::string& key,
                              std::int64_t version) const;
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -401,6 +401,7 @@
     jobs::configuration configuration_;
     accepted_queues queues_;
     bool queues_restored_ = false;
+    bool queue_rows_rejected_ = false;
     std::set<std::string, std::less<>> evacuated_;
     std::unordered_map<std::string, job_run> jobs_;
     /// Jobs that have not ended, oldest first.
--- a/src/mustardwick/dispatch/accepted_queues_test.cpp
+++ b/src/mustardwick/dispatch/accepted_queues_test.cpp
@@ -290,6 +290,22 @@
     cr_assert(rows.contains({row_kind::queue, "r"}));
 }
 
+// Guards against rows of queues that are lost with a transaction that the store
+// rejects.
+Test(accepted_queues, are_stored_again_after_a_rejection)
+{
+    stored_rows rows;
+    queue_cell cell(rows);
+    cell.load(with_queues({queue_at("q", "/q/", "s")}));
+    cr_assert_not(cell.plan.next_commit(96, 600'000).empty());
+    cell.plan.commit_rejected();
+    cell.store(100);
+    cr_assert_not(rows.contains({row_kind::queue, "q"}));
+    cell.clock.advance(std::chrono::seconds(6));
+    cell.place();
+    cr_assert(rows.contains({row_kind::queue, "q"}));
+}
+
 // Guards against a task that is started once more after its last attempt has
 // failed while its queue was not configured.
 Test(accepted_queues, keep_the_number_of_attempts)
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -58,8 +58,11 @@
         out.rows.push_back({row_kind::job, id, std::nullopt});
         out.rows.push_back({row_kind::progress, id, std::nullopt});
         for (const auto& [name, value] : std::exchange(job.stored_blocks, {}))
+        {
+            effects.blocks.push_back(name);
             out.rows.push_back(
                 {row_kind::progress, block_key(id, name), std::nullopt});
+        }
         return out;
     }
     std::string specification;
@@ -147,8 +150,8 @@
                out.size() + rows_of_a_small_change <= max_rows &&
                bytes < max_bytes;
     };
-    // Rows without effects have a transaction of their own: they would be lost
-    // if it were rejected because of a job.
+    // Rows without effects have a transaction of their own, so that they are
+    // not rejected because of a job.
     bool is_alone = false;
     while (!unfinished_.empty() && !is_alone && has_room())
     {
@@ -219,6 +222,8 @@
     metrics_.add("mustardwick_rejected_transactions_total");
     log_event(log_level::error, "planner", "transaction_rejected",
               {{"jobs", batch.size()}});
+    // Only rows of queues; the next sweep sends them again.
+    queue_rows_rejected_ = queue_rows_rejected_ || batch.empty();
     if (batch.empty())
         return;
     if (batch.size() == 1)
--- a/src/mustardwick/dispatch/planner_queues.cpp
+++ b/src/mustardwick/dispatch/planner_queues.cpp
@@ -94,6 +94,8 @@
     queues_.retain(used);
     // Cached contexts may refer to a removed queue.
     ++configuration_serial_;
+    if (std::exchange(queue_rows_rejected_, false))
+        queues_.mark_all_changed();
     store_queues({});
     std::erase_if(allowed_share_,
                   [&](const auto& it)
