Let the soak count an acknowledged end only while the worker's lease held

In both a worker was behind a broken path for 6.5 s; the leader waited for its lease (lease_lapsed w-7 at 21:14:29.842 and w-9 at 21:16:08.083) and started run 2 elsewhere. The path was mended 0.1 s and 0.5 s later, the end of run 1 was listed and acknowledged, and run 2 failed by itself, so that run 3 started.

The check stays for all others; the new case of checks_test.py covers both and failed before the change.

The scheduler could take such an end for the task's success and spare run 3; it does not.

--- a/testing/soak/checks_test.py
+++ b/testing/soak/checks_test.py
@@ -69,6 +69,27 @@
     return failures
 
 
+async def counts_acknowledged_ends_unless_the_lease_has_lapsed():
+    """Guards against a checker that misses a start after an acknowledged end,
+    or counts an end whose worker's lease lapsed before."""
+    failures = []
+    for lapsed in (False, True):
+        promises, (first, second) = await make_workers(2)
+        await start_run(first, 1)
+        first.end((TASK, 1), "done")
+        if lapsed:
+            first.lease_ms = 0
+        await asyncio.sleep(0.01)
+        await first.hold({"fencing_token": 1, "ack_cursor": 1,
+                          "deadline_ms": first.clock_ms() + 1000})
+        await start_run(second, 2)
+        if any("acked" in it for it in promises.violations) == lapsed:
+            failures.append(f"lapsed: {lapsed}, {promises.violations}")
+        for it in (first, second):
+            it.listener.close()
+    return failures
+
+
 async def counts_starts_that_are_not_answered():
     """Guards against a checker that counts only what daemons were told."""
     promises, (first, second) = await make_workers(2)
@@ -110,6 +131,7 @@
 
 
 TESTS = [counts_two_runs_behind_a_faulty_path,
+         counts_acknowledged_ends_unless_the_lease_has_lapsed,
          counts_starts_that_are_not_answered,
          tells_waiting_jobs_from_jobs_that_cannot_run]
 
--- a/testing/soak/workers.py
+++ b/testing/soak/workers.py
@@ -123,6 +123,8 @@
         self.highest = {}
         self.ends = []
         self.ended_count = 0
+        # Highest number of an end that was listed when the lease lapsed.
+        self.lapsed_end = 0
         self.acknowledged = 0
         self.changed = asyncio.Event()
         self.up = True
@@ -147,6 +149,12 @@
         self.promises.ended(self, key[0], how)
         self.changed.set()
 
+    def note_lapse(self):
+        """Must be called before the lease is extended. An end is not taken note
+        of if the lease lapses before it is acknowledged."""
+        if self.clock_ms() > self.lease_ms:
+            self.lapsed_end = self.ended_count
+
     async def tick(self):
         """Ends runs whose time is over, and all runs when the lease expires."""
         while True:
@@ -184,6 +192,7 @@
             return 409, self.stamp({"reason": "old"})
         if self.clock_ms() > body["deadline_ms"]:
             return 409, self.stamp({"reason": "late"})
+        self.note_lapse()
         self.lease_ms = max(self.lease_ms,
                             min(body["deadline_ms"],
                                 self.clock_ms() + MAX_LEASE_MS))
@@ -217,13 +226,15 @@
         if body["fencing_token"] < self.token:
             return 409, self.stamp({"reason": "fence"})
         self.token = body["fencing_token"]
+        self.note_lapse()
         if "deadline_ms" in body:
             self.lease_ms = max(self.lease_ms,
                                 min(body["deadline_ms"],
                                     self.clock_ms() + MAX_LEASE_MS))
         for it in self.ends:
-            if it[0] <= body["ack_cursor"]:
-                self.promises.acked_done |= {it[1]} if it[3] == "done" else set()
+            if (it[3] == "done" and
+                    self.lapsed_end < it[0] <= body["ack_cursor"]):
+                self.promises.acked_done.add(it[1])
         self.ends = [it for it in self.ends if it[0] > body["ack_cursor"]]
         self.changed.clear()
         if not self.ends and body.get("wait_ms", 0) > 0:
