--- a/include/mustardwick/dispatch/accepted_queues.hpp
+++ b/include/mustardwick/dispatch/accepted_queues.hpp
@@ -32,7 +32,6 @@
         /// The last call of retain() found no need for it.
         bool is_unused = false;
     };
-    using entries = std::map<std::string, entry, std::less<>>;
     using renamed_keys = std::vector<std::pair<std::string, std::string>>;
 
     /// @brief Replaces all entries by stored ones, which configure() has to
@@ -45,18 +44,13 @@
 
     /// @brief Removes the entries that two calls in a row have found neither
     /// used nor configured: a job that was submitted under the former
-    /// configuration may arrive late.
-    void retain(const std::set<std::string, std::less<>>& used);
+    /// configuration may arrive late. Returns whether there were any.
+    bool retain(const std::set<std::string, std::less<>>& used);
 
     /// @brief Returns an entry; null for an unknown key. It is valid until the
     /// next change.
     const entry* find(std::string_view key) const;
 
-    const entries& all() const
-    {
-        return entries_;
-    }
-
     /// @brief Returns the keys that were added, changed or removed since the
     /// last call.
     std::set<std::string> take_changes()
@@ -75,7 +69,7 @@
     std::string unused_alias(const std::string& key,
                              std::int64_t version) const;
 
-    entries entries_;
+    std::map<std::string, entry, std::less<>> entries_;
     std::set<std::string> changed_;
 };
 
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -424,9 +424,9 @@
     orders outbox_;
     /// Usable hosts by service; valid within one round.
     std::map<std::string, std::vector<host_state*>, std::less<>> round_hosts_;
-    /// Suspect hosts in service by service, quarantined ones included.
+    /// Quarantined hosts by service; valid within one round.
     std::map<std::string, std::vector<host_state*>, std::less<>>
-        round_suspects_;
+        round_quarantined_;
     std::map<std::string, processors, std::less<>> round_processors_;
     /// Processors that waiting gang steps need, in millicores.
     std::int64_t round_planned_millicpus_ = 0;
--- a/include/mustardwick/entry/state_log.hpp
+++ b/include/mustardwick/entry/state_log.hpp
@@ -88,6 +88,7 @@
 
     void send();
     copy_kind next_copy() const;
+    const durable::transaction& probe();
     void answered(const durable::store_reply& reply, base::steady_time sent,
                   copy_kind copy);
     void conflicted(const durable::store_reply& reply, base::steady_time sent);
@@ -107,7 +108,8 @@
     head_record head_;
     std::int64_t version_;
     durable::transaction current_;
-    durable::transaction probe_;
+    /// Built when the first probe is sent.
+    std::optional<durable::transaction> probe_;
     std::string probe_id_;
     /// Failed copies of the current transaction.
     int failures_ = 0;
--- a/src/mustardwick/dispatch/accepted_queues.cpp
+++ b/src/mustardwick/dispatch/accepted_queues.cpp
@@ -93,8 +93,9 @@
     return out;
 }
 
-void accepted_queues::retain(const std::set<std::string, std::less<>>& used)
+bool accepted_queues::retain(const std::set<std::string, std::less<>>& used)
 {
+    const auto before = entries_.size();
     for (auto it = entries_.begin(); it != entries_.end();)
     {
         auto& [key, value] = *it;
@@ -107,6 +108,7 @@
             changed_.insert(key);
         it = drops ? entries_.erase(it) : std::next(it);
     }
+    return entries_.size() < before;
 }
 
 const accepted_queues::entry* accepted_queues::find(std::string_view key) const
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -311,8 +311,7 @@
         auto* job = find_job(order.task.job);
         const auto* queue = job == nullptr ? nullptr : context_of(*job).queue;
         // The host or the ticket may have become invalid since the host was
-        // chosen.
-        // A new incarnation may have another capacity and other labels.
+        // chosen; a new incarnation may have another capacity and other labels.
         const bool is_valid =
             queue != nullptr &&
             order.worker_incarnation_start_ms == host.incarnation_start_ms &&
--- a/src/mustardwick/dispatch/planner_hosts.cpp
+++ b/src/mustardwick/dispatch/planner_hosts.cpp
@@ -193,9 +193,8 @@
          tickets_only ? with_tickets : round_hosts_[step.queue->service])
         examine(host);
     if (!tickets_only && may_use_suspect_hosts(step))
-        for (auto* host : round_suspects_[step.queue->service])
-            if (!is_usable(*host, step.queue->service))
-                examine(host);
+        for (auto* host : round_quarantined_[step.queue->service])
+            examine(host);
     // Best fit keeps large gaps for large tasks.
     std::stable_sort(
         allowed.begin(), allowed.end(),
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -187,7 +187,7 @@
 {
     const auto started = clock_.now();
     round_hosts_.clear();
-    round_suspects_.clear();
+    round_quarantined_.clear();
     round_processors_.clear();
     round_planned_millicpus_ = 0;
     round_preemption_searches_ = 0;
@@ -204,11 +204,13 @@
             round_.unreachable_hosts += host.reachable ? 0 : 1;
             round_.suspect_hosts += is_suspect(host) ? 1 : 0;
         }
-        if (is_suspect(host) && is_in_service(host, host.info.service))
-            round_suspects_[host.info.service].push_back(&host);
         host.reserved = {};
         if (!is_usable(host, host.info.service))
+        {
+            if (is_in_service(host, host.info.service))
+                round_quarantined_[host.info.service].push_back(&host);
             continue;
+        }
         processors.usable += host.info.capacity.millicpus;
         round_hosts_[host.info.service].push_back(&host);
         ++round_.usable_hosts;
--- a/src/mustardwick/dispatch/planner_queues.cpp
+++ b/src/mustardwick/dispatch/planner_queues.cpp
@@ -91,9 +91,9 @@
     std::set<std::string, std::less<>> used;
     for (const auto& [number, job] : active_)
         used.insert(job->specification.queue);
-    queues_.retain(used);
     // Cached contexts may refer to a removed queue.
-    ++configuration_serial_;
+    if (queues_.retain(used))
+        ++configuration_serial_;
     if (std::exchange(queue_rows_rejected_, false))
         queues_.mark_all_changed();
     store_queues({});
--- a/src/mustardwick/entry/state_log.cpp
+++ b/src/mustardwick/entry/state_log.cpp
@@ -72,19 +72,28 @@
     accepted_probes_ = 0;
     is_invalid_ = false;
     current_ = std::move(change);
-    probe_ = {};
-    for (auto* it : {&probe_, &current_})
-    {
-        head_.transaction = base::unique_id();
-        it->conditions.push_back({head_address(), version_});
-        it->writes.push_back({head_address(), wire::encode(head_)});
-        if (it == &probe_)
-            probe_id_ = head_.transaction;
-    }
+    probe_.reset();
+    head_.transaction = base::unique_id();
+    current_.conditions.push_back({head_address(), version_});
+    current_.writes.push_back({head_address(), wire::encode(head_)});
     ++commit_number_;
     send();
 }
 
+const durable::transaction& state_log::probe()
+{
+    if (!probe_)
+    {
+        auto head = head_;
+        head.transaction = base::unique_id();
+        probe_id_ = head.transaction;
+        probe_.emplace();
+        probe_->conditions.push_back({head_address(), version_});
+        probe_->writes.push_back({head_address(), wire::encode(head)});
+    }
+    return *probe_;
+}
+
 state_log::copy_kind state_log::next_copy() const
 {
     const bool has_content =
@@ -100,7 +109,7 @@
     const auto sent = clock_.now();
     sent_ = sent;
     const auto copy = next_copy();
-    store_.commit(copy == copy_kind::probe ? probe_ : current_, answer_timeout,
+    store_.commit(copy == copy_kind::probe ? probe() : current_, answer_timeout,
                   [self = shared_from_this(), sent, copy,
                    number = commit_number_](const durable::store_reply& reply)
                   {
@@ -156,7 +165,7 @@
     if (it != reply.rows.end())
         found = wire::decode<head_record>(it->value);
     // An earlier copy of this transaction, or a probe, took effect.
-    if (found && found->transaction == probe_id_)
+    if (found && probe_ && found->transaction == probe_id_)
     {
         // The copy that failed now knew an older version than the probe left.
         if (it->version != version_)
@@ -184,7 +193,7 @@
     failing_since_.reset();
     unresponsive_ = false;
     ++failures_;
-    for (auto* it : {&current_, &probe_})
+    for (auto* it : {&current_, &*probe_})
         it->conditions.front().version = version_;
     send();
 }
