Let the most suitable host lead, and hand over from one that is not

Cause: any host of at least 0.2 processors acquired leadership on equal terms.

Change: a host's suitability is the smallest ratio of a resource to what the leader of a cell of this size needs, at the processor's present speed and the median round trip of heartbeats. Candidates wait by tier, and a leader hands over in one transaction to a member that is 1.5 times as suitable for 0.7 s. Repeated hand-overs are bounded by a growing tenure.

Tests: policy (34) and entry (24) pass.

--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -17,6 +17,7 @@
 #include "mustardwick/entry/leader_authority.hpp"
 #include "mustardwick/entry/member_heartbeats.hpp"
 #include "mustardwick/entry/open_calls.hpp"
+#include "mustardwick/entry/processor_probe.hpp"
 #include "mustardwick/entry/settings.hpp"
 #include "mustardwick/entry/state_log.hpp"
 #include "mustardwick/entry/worker_links.hpp"
@@ -39,6 +40,9 @@
         aio::peer_hub& peers;
         platform::advice_client& advice;
         base::metrics& metrics;
+        processor_probe& processor;
+        /// Hand-overs in a row to a more suitable member that led to this term.
+        int recent_hand_overs = 0;
     };
     /// Called once when leadership ends; receives the member that should take
     /// over, if there is one.
@@ -79,6 +83,12 @@
     {
         return released_ ? log_->head_version() : 0;
     }
+    /// @brief Returns the hand-overs in a row to a more suitable member that
+    /// the successor continues with; 0 when leadership ended otherwise.
+    int recent_hand_overs() const
+    {
+        return successor_ ? review_.next_hand_overs(env_.clock.now()) : 0;
+    }
 
 private:
     void load_table(const std::string& table);
@@ -95,6 +105,10 @@
     void pump_commits();
     void committed(log_result result);
     void check_leadership();
+    /// @brief Hands over when a member is more suitable to lead.
+    void review_leadership();
+    /// @brief Measures how well this host leads now.
+    double own_suitability(const policy::leader_needs& needs);
     void report_status();
     void step_down(std::string_view reason,
                    std::optional<member_record> successor);
@@ -120,6 +134,7 @@
     std::shared_ptr<advice_pool> advice_;
     std::shared_ptr<worker_links> workers_;
     leader_authority authority_;
+    policy::leader_review review_;
     open_calls calls_;
     dispatch::planner planner_;
     boost::asio::steady_timer work_timer_;
@@ -127,6 +142,11 @@
     boost::asio::steady_timer leadership_timer_;
     base::steady_time started_;
     base::steady_time next_status_;
+    base::steady_time next_check_;
+    /// Delay of the last leadership check, which a busy or slow processor
+    /// causes.
+    std::chrono::milliseconds lag_{0};
+    double suitability_ = 0;
     /// A function that needs a confirmation later than `since`.
     struct unconfirmed_call
     {
--- a/include/mustardwick/entry/leader_candidate.hpp
+++ b/include/mustardwick/entry/leader_candidate.hpp
@@ -14,17 +14,13 @@
 namespace mustardwick::entry
 {
 
-/// Hosts with a smaller capacity lead only while no larger host can. Starting a
-/// task costs the leader about 0.4 ms, and a large cell starts several hundred
-/// tasks a second.
-inline constexpr double small_host_capacity = 0.2;
-
 /// @brief Acquires leadership when the leader fails.
 ///
 /// The head row is authoritative. A daemon that has received no heartbeat from
 /// the leader polls the row. Once its version has been unchanged for longer
 /// than a leader's renewal takes, the daemon replaces the row conditionally on
-/// that version.
+/// that version. Less suitable hosts wait longer, so that the most suitable one
+/// that reaches the store acquires leadership.
 class leader_candidate : public std::enable_shared_from_this<leader_candidate>
 {
 public:
@@ -41,8 +37,9 @@
 
     void start();
     void stop();
-    /// @brief Records a heartbeat of the leader.
-    void heartbeat_received();
+    /// @brief Records a heartbeat of the leader and the turn in which this
+    /// daemon may replace it.
+    void heartbeat_received(int succession_tier);
     /// @brief Records that connections to the given epoch's leader are refused.
     ///
     /// Its process may have terminated, or the path to it rejects connections:
@@ -55,7 +52,8 @@
     void set_paused(bool paused);
 
 private:
-    bool is_small() const;
+    /// Returns how long this daemon waits for more suitable ones.
+    std::chrono::milliseconds succession_delay() const;
     void tick();
     void read_head();
     void head_read(const durable::store_reply& reply);
@@ -75,6 +73,7 @@
     std::optional<std::int64_t> observed_version_;
     base::steady_time observed_since_;
     std::optional<head_record> attempt_;
+    int succession_tier_;
     bool taking_over_ = false;
     bool call_open_ = false;
     bool paused_ = false;
--- a/include/mustardwick/entry/messages.hpp
+++ b/include/mustardwick/entry/messages.hpp
@@ -9,6 +9,7 @@
 
 #include "mustardwick/dispatch/orders.hpp"
 #include "mustardwick/jobs/job.hpp"
+#include "mustardwick/policy/leader_suitability.hpp"
 #include "mustardwick/wire/endpoint.hpp"
 
 namespace mustardwick::entry
@@ -42,13 +43,12 @@
     std::string name;
     std::string address;
     std::uint16_t port = 0;
-    /// Processor capacity of the host; 1.0 is one processor.
-    double capacity = 0;
+    policy::host_resources resources;
 
     template <typename Archive>
     void serialize(Archive& ar)
     {
-        ar(name, address, port, capacity);
+        ar(name, address, port, resources);
     }
 };
 
@@ -66,11 +66,15 @@
     /// The store fails for the leader. A member with access to the store is
     /// needed as successor, so each member probes the store at once.
     bool store_failing = false;
+    /// Turn in which the receiver may replace the leader; see
+    /// policy::succession_tier.
+    int succession_tier = 0;
 
     template <typename Archive>
     void serialize(Archive& ar)
     {
-        ar(epoch, leader, address, port, configuration, store_failing);
+        ar(epoch, leader, address, port, configuration, store_failing,
+           succession_tier);
     }
 };
 
@@ -84,11 +88,13 @@
     std::int64_t store_age_ms = -1;
     /// The member is shutting down and must not become leader.
     bool leaving = false;
+    /// The member's processor speed relative to the best that it has shown.
+    double speed = 1.0;
 
     template <typename Archive>
     void serialize(Archive& ar)
     {
-        ar(epoch, store_age_ms, leaving);
+        ar(epoch, store_age_ms, leaving, speed);
     }
 };
 
@@ -98,11 +104,13 @@
     std::int64_t epoch = 0;
     /// Version of the head row that the sender wrote last; 0 when unknown.
     std::int64_t head_version = 0;
+    /// Hand-overs in a row to a more suitable member, including this one.
+    int recent_hand_overs = 0;
 
     template <typename Archive>
     void serialize(Archive& ar)
     {
-        ar(epoch, head_version);
+        ar(epoch, head_version, recent_hand_overs);
     }
 };
 
--- a/include/mustardwick/entry/settings.hpp
+++ b/include/mustardwick/entry/settings.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "mustardwick/base/log.hpp"
+#include "mustardwick/policy/leader_suitability.hpp"
 #include "mustardwick/wire/endpoint.hpp"
 
 namespace mustardwick::entry
@@ -44,8 +45,8 @@
     wire::endpoint metrics;
     wire::endpoint store;
     wire::endpoint advisor;
-    /// Processor capacity of this host; 1.0 is one processor.
-    double capacity = 1.0;
+    /// Resources of this host; they decide whether it leads.
+    policy::host_resources resources;
     cell_limits limits;
     base::log_level log_level = base::log_level::info;
 };
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -1,5 +1,7 @@
 #include "mustardwick/entry/cell_leader.hpp"
 
+#include <cmath>
+
 #include <boost/asio/post.hpp>
 
 #include "mustardwick/base/error.hpp"
@@ -31,16 +33,14 @@
 /// within this time.
 constexpr milliseconds hand_over_timeout_when_unresponsive{1300};
 constexpr milliseconds newer_answer_margin{100};
-/// If only a small host could take over, the hand-over waits this much longer
-/// for a larger one, because a small host needs more than a second to load the
-/// state of a large cell. Members learn within two heartbeats whether the store
-/// answers them.
-constexpr milliseconds larger_member_timeout{400};
+/// If only a less suitable host could take over, the hand-over waits this much
+/// longer for a better one, because a small host needs more than a second to
+/// load the state of a large cell. Members learn within two heartbeats whether
+/// the store answers them.
+constexpr milliseconds better_member_timeout{400};
 /// A member that the store answered within this time can take over. The store
 /// answers each member's configuration watch at least once a second.
 constexpr milliseconds store_answer_window{1500};
-/// A small host that leads starts to look for a larger one after this time.
-constexpr milliseconds larger_host_search_delay{1500};
 constexpr milliseconds status_interval{1000};
 /// The store accepts 100 entries and 1 MB per transaction. The head row is one
 /// entry, and base64 enlarges values by a third. The last row may exceed the
@@ -48,6 +48,12 @@
 constexpr std::size_t max_rows_per_commit = 96;
 constexpr std::size_t max_bytes_per_commit = 600'000;
 
+/// Returns a suitability for log lines; 100 just suffices.
+std::int64_t percent_of(double suitability)
+{
+    return std::llround(suitability * 100);
+}
+
 dispatch::planner_options planner_options_of(const settings& options)
 {
     dispatch::planner_options out;
@@ -70,6 +76,7 @@
                                        env.metrics, head_, head_version)),
       authority_(env.clock, env.suspensions,
                  dispatch::planner_options().former_leader_authority),
+      review_(env.clock.now(), env.recent_hand_overs),
       planner_(env.clock, planner_options_of(env.options), env.metrics),
       work_timer_(env.io), registry_timer_(env.io), leadership_timer_(env.io),
       started_(env.clock.now())
@@ -245,8 +252,9 @@
     {
         auto successor = successor_;
         if (!successor)
-            successor = heartbeats_->largest_with_store_access(
-                env_.clock.now() - store_answer_window);
+            if (const auto best = heartbeats_->best_with_store_access(
+                    env_.clock.now() - store_answer_window))
+                successor = best->record;
         return step_down("leadership was released", successor);
     }
     work();
@@ -269,9 +277,17 @@
 {
     if (stopped_)
         return;
+    const auto now = env_.clock.now();
+    if (next_check_ != base::steady_time())
+        lag_ = std::chrono::duration_cast<milliseconds>(now - next_check_);
+    next_check_ = now + leadership_check_interval;
     schedule_work();
     if (!loaded_)
         pump_commits();
+    const auto needs = policy::needs_of_cell(loaded_ ? known_workers_.size()
+                                                     : policy::assumed_workers);
+    heartbeats_->set_needs(needs);
+    suitability_ = own_suitability(needs);
     report_status();
     if (store_retry_after())
         planner_.reject_unsent_jobs();
@@ -282,24 +298,19 @@
                              : hand_over_timeout;
     if (failing && env_.clock.now() - *failing > timeout)
     {
-        const auto member = heartbeats_->largest_with_store_access(
-            *failing + newer_answer_margin);
-        const bool is_small = member && member->capacity < small_host_capacity;
-        const bool waits = is_small && env_.clock.now() - *failing <
-                                           timeout + larger_member_timeout;
+        const auto member =
+            heartbeats_->best_with_store_access(*failing + newer_answer_margin);
+        const bool is_unsuited =
+            member &&
+            policy::succession_tier(member->suitability,
+                                    heartbeats_->best_suitability()) > 0;
+        const bool waits = is_unsuited && env_.clock.now() - *failing <
+                                              timeout + better_member_timeout;
         if (member && !waits)
             return step_down("the store is reachable from another member",
-                             member);
+                             member->record);
     }
-    const bool settled =
-        loaded_ && env_.clock.now() - started_ > larger_host_search_delay;
-    if (settled && !releasing_ && env_.options.capacity < small_host_capacity)
-        if (const auto member = heartbeats_->largest_with_store_access(
-                env_.clock.now() - store_answer_window, env_.options.capacity))
-        {
-            successor_ = member;
-            release();
-        }
+    review_leadership();
     leadership_timer_.expires_after(leadership_check_interval);
     leadership_timer_.async_wait(
         [self = shared_from_this()](boost::system::error_code ec)
@@ -309,6 +320,35 @@
         });
 }
 
+double cell_leader::own_suitability(const policy::leader_needs& needs)
+{
+    policy::host_condition condition;
+    condition.speed = env_.processor.speed();
+    // The time that this process took to read an answer is not the network's.
+    condition.network_delay =
+        std::max(heartbeats_->median_round_trip() - lag_, milliseconds(0));
+    return policy::suitability_of(env_.options.resources, condition, needs);
+}
+
+void cell_leader::review_leadership()
+{
+    if (!loaded_ || releasing_)
+        return;
+    const auto now = env_.clock.now();
+    const auto best =
+        heartbeats_->best_with_store_access(now - store_answer_window);
+    const auto found = best ? std::optional(best->suitability) : std::nullopt;
+    if (!review_.is_due(now, suitability_, found))
+        return;
+    log_event(log_level::warning, "leader", "hand_over_started",
+              {{"suitability_percent", percent_of(suitability_)},
+               {"successor", best->record.name},
+               {"successor_percent", percent_of(best->suitability)}});
+    env_.metrics.add("mustardwick_hand_overs_total");
+    successor_ = best->record;
+    release();
+}
+
 void cell_leader::report_status()
 {
     const auto now = env_.clock.now();
@@ -323,6 +363,9 @@
     log_event(
         log_level::info, "leader", "status",
         {{"lag_ms", std::chrono::duration_cast<milliseconds>(lag).count()},
+         {"suitability_percent", percent_of(suitability_)},
+         {"best_member_percent", percent_of(heartbeats_->best_suitability())},
+         {"round_trip_ms", heartbeats_->median_round_trip().count()},
          {"round_us", std::int64_t(round.duration.count())},
          {"hosts_examined", round.hosts_examined},
          {"active_jobs", round.active_jobs},
--- a/src/mustardwick/entry/entry_node.cpp
+++ b/src/mustardwick/entry/entry_node.cpp
@@ -200,9 +200,12 @@
 void entry_node::impl::acquired(head_record head, std::int64_t version)
 {
     update_leader(head.epoch, head.leader, options.peers);
+    const bool was_offered =
+        accepted_offer && accepted_offer->epoch + 1 == head.epoch;
     leader = std::make_shared<cell_leader>(
-        cell_leader::environment{io, clock, suspensions, options, store, *peers,
-                                 advice, metrics},
+        cell_leader::environment{
+            io, clock, suspensions, options, store, *peers, advice, metrics,
+            processor, was_offered ? accepted_offer->recent_hand_overs : 0},
         std::move(head), version,
         [this](std::optional<member_record> successor)
         {
@@ -213,7 +216,8 @@
 
 void entry_node::impl::leadership_lost(std::optional<member_record> successor)
 {
-    const hand_over offer{leader->epoch(), leader->released_version()};
+    const hand_over offer{leader->epoch(), leader->released_version(),
+                          leader->recent_hand_overs()};
     leader.reset();
     candidate->set_paused(leaving);
     if (successor)
--- a/src/mustardwick/entry/entry_node_impl.hpp
+++ b/src/mustardwick/entry/entry_node_impl.hpp
@@ -12,6 +12,7 @@
 #include "mustardwick/entry/gateway.hpp"
 #include "mustardwick/entry/leader_availability.hpp"
 #include "mustardwick/entry/leader_candidate.hpp"
+#include "mustardwick/entry/processor_probe.hpp"
 #include "mustardwick/entry/store_reachability.hpp"
 
 namespace mustardwick::entry
@@ -36,7 +37,7 @@
           startup_timer(io), shutdown_timer(io)
     {
         self_record = {options.name, options.peers.address, options.peers.port,
-                       options.capacity};
+                       options.resources};
     }
 
     bool start();
@@ -87,6 +88,9 @@
     std::unique_ptr<aio::http_listener> metrics_page;
     std::shared_ptr<cell_leader> leader;
     leader_address known_leader;
+    /// Leadership that a leader handed over to this daemon last.
+    std::optional<hand_over> accepted_offer;
+    processor_probe processor{clock};
     leader_availability availability;
     std::function<std::optional<settings>()> reload;
     bool fetching_configuration = false;
--- a/src/mustardwick/entry/entry_node_peers.cpp
+++ b/src/mustardwick/entry/entry_node_peers.cpp
@@ -43,7 +43,10 @@
         const auto message = wire::decode<hand_over>(payload);
         if (message && message->epoch == known_leader.epoch && !leader &&
             !leaving)
+        {
+            accepted_offer = *message;
             candidate->take_over(*message);
+        }
         return respond({});
     }
     const bool taken = leader && leader->handle(type, payload, respond);
@@ -65,7 +68,7 @@
         if (leader && leader->epoch() < heartbeat->epoch)
             leader->superseded();
         if (!leader)
-            candidate->heartbeat_received();
+            candidate->heartbeat_received(heartbeat->succession_tier);
         const auto& known = config->state().configuration;
         if (!known || known->version < heartbeat->configuration)
             fetch_configuration();
@@ -75,6 +78,7 @@
     heartbeat_reply answer;
     answer.epoch = known_leader.epoch;
     answer.leaving = leaving;
+    answer.speed = processor.speed();
     answer.store_age_ms = store_answers.age_ms(
         heartbeat->store_failing, store.last_answer(), clock.now());
     respond(wire::encode(answer));
--- a/src/mustardwick/entry/leader_candidate.cpp
+++ b/src/mustardwick/entry/leader_candidate.cpp
@@ -35,9 +35,9 @@
 /// An idle leader renews the row within 350 ms.
 constexpr milliseconds takeover_delay_when_refused{380};
 constexpr milliseconds slow_read{50};
-/// Small hosts wait so that larger ones acquire leadership first; the leader
-/// carries the highest load.
-constexpr milliseconds small_host_delay{500};
+/// Time in which a more suitable host, which polls the head row every 150 ms,
+/// acquires leadership.
+constexpr milliseconds delay_per_tier{300};
 
 durable::row_address head_address()
 {
@@ -51,19 +51,24 @@
                                    platform::store_client& store,
                                    member_record self, events on)
     : timer_(io), clock_(time), store_(store), self_(std::move(self)),
-      on_(std::move(on))
+      on_(std::move(on)),
+      // The other hosts are not known yet.
+      succession_tier_(policy::succession_tier(
+          policy::suitability_of(
+              self_.resources, {},
+              policy::needs_of_cell(policy::assumed_workers)),
+          1.0))
 {
 }
 
-bool leader_candidate::is_small() const
+milliseconds leader_candidate::succession_delay() const
 {
-    return self_.capacity < small_host_capacity;
+    return delay_per_tier * succession_tier_;
 }
 
 void leader_candidate::start()
 {
-    if (is_small())
-        next_read_ = clock_.now() + small_host_delay;
+    next_read_ = clock_.now() + succession_delay();
     tick();
 }
 
@@ -73,9 +78,10 @@
     timer_.cancel();
 }
 
-void leader_candidate::heartbeat_received()
+void leader_candidate::heartbeat_received(int succession_tier)
 {
     last_heartbeat_ = clock_.now();
+    succession_tier_ = std::max(0, succession_tier);
     refused_epoch_ = 0;
     observed_version_.reset();
 }
@@ -87,8 +93,8 @@
     refused_epoch_ = epoch;
     last_heartbeat_ = {};
     next_read_ = {};
-    if (is_small())
-        next_read_ = clock_.now() + small_host_delay;
+    if (succession_tier_ > 0)
+        next_read_ = clock_.now() + succession_delay();
     else if (!call_open_ && !paused_ && !stopped_)
         read_head();
 }
@@ -173,21 +179,24 @@
     if (attempt_ && head->transaction == attempt_->transaction)
         return acquired(it->version);
     const bool own = head->leader == self_.name;
-    if (head->released || own || taking_over_)
+    const bool free = head->released && succession_tier_ == 0;
+    if (free || own || taking_over_)
         return acquire(head->epoch + 1, it->version);
     if (observed_version_ != it->version)
     {
         observed_version_ = it->version;
         observed_since_ = now;
-        on_.leader_seen(*head);
+        if (!head->released)
+            on_.leader_seen(*head);
         return;
     }
+    if (head->released && now - observed_since_ >= succession_delay())
+        return acquire(head->epoch + 1, it->version);
     const bool refused = head->epoch == refused_epoch_;
     auto wait = refused ? takeover_delay_when_refused : takeover_delay;
     if (now - read_started_ > slow_read)
         wait = takeover_delay_when_slow;
-    if (is_small())
-        wait += small_host_delay;
+    wait += succession_delay();
     if (now - observed_since_ >= wait &&
         now - last_heartbeat_ >= leader_timeout)
         acquire(head->epoch + 1, it->version);
--- a/src/mustardwick/entry/leader_candidate_test.cpp
+++ b/src/mustardwick/entry/leader_candidate_test.cpp
@@ -113,7 +113,7 @@
     for (const auto& it : cases)
     {
         candidate_fixture cell(it.port, head_of_another(7));
-        cell.candidate->heartbeat_received();
+        cell.candidate->heartbeat_received(0);
         cell.candidate->start();
         cell.candidate->leader_connection_refused(it.refused_epoch);
         boost::asio::steady_timer renewal(cell.io);
@@ -156,8 +156,46 @@
     {
         candidate_fixture cell(it.port, head_of_another(7));
         cell.store.fault = it.fault;
-        cell.candidate->heartbeat_received();
+        cell.candidate->heartbeat_received(0);
         cell.candidate->start();
         cr_assert_eq(cell.acquires_within(milliseconds(1100)), it.acquired);
     }
 }
+
+struct succession_case
+{
+    const char* name;
+    int tier;
+    bool released;
+    std::uint16_t port;
+    /// Times between which the candidate acquires leadership.
+    int min_ms;
+    int max_ms;
+};
+
+// Guards against hosts of any size racing for leadership on equal terms: one
+// with a narrow link led 350 workers while six large hosts were there.
+Test(leader_candidate, waits_for_more_suitable_hosts)
+{
+    const std::array cases = {
+        succession_case{"best, released", 0, true, 27461, 0, 700},
+        succession_case{"unsuited, released", 2, true, 27462, 800, 1600},
+        succession_case{"best, silent leader", 0, false, 27463, 400, 1300},
+        succession_case{"unsuited, silent leader", 2, false, 27464, 1000, 2200},
+    };
+    for (const auto& it : cases)
+    {
+        const auto bytes =
+            wire::encode(head_record{7, "b", "127.0.0.1", 2, "t", it.released});
+        candidate_fixture cell(
+            it.port, utility::conversions::to_base64(std::vector<unsigned char>(
+                         bytes.begin(), bytes.end())));
+        cell.candidate->heartbeat_received(it.tier);
+        cell.candidate->start();
+        cr_assert_not(cell.acquires_within(milliseconds(it.min_ms)), "%s",
+                      it.name);
+        cr_assert(cell.acquires_within(milliseconds(it.max_ms - it.min_ms)),
+                  "%s", it.name);
+        cr_assert_eq(cell.head->epoch, 8, "%s", it.name);
+    }
+}
--- a/src/mustardwick/entry/member_heartbeats.cpp
+++ b/src/mustardwick/entry/member_heartbeats.cpp
@@ -31,6 +31,8 @@
 constexpr milliseconds member_expiry{20'000};
 /// Members that replied within this time receive work.
 constexpr milliseconds reachable_window{1500};
+/// A lower reported speed is a measurement error.
+constexpr double min_speed = 0.01;
 
 } // namespace
 
@@ -72,6 +74,11 @@
     heartbeat_.configuration = version;
 }
 
+void member_heartbeats::set_needs(const policy::leader_needs& needs)
+{
+    needs_ = needs;
+}
+
 void member_heartbeats::set_store_failing(bool failing)
 {
     if (std::exchange(heartbeat_.store_failing, failing) || !failing)
@@ -95,6 +102,7 @@
 {
     if (stopped_)
         return;
+    update_summary();
     const auto now = clock_.now();
     std::vector<std::string> due;
     for (const auto& [name, it] : members_)
@@ -117,6 +125,8 @@
     if (it.heartbeat_open)
         return;
     it.heartbeat_open = true;
+    heartbeat_.succession_tier =
+        policy::succession_tier(suitability(it), best_suitability_);
     const auto sent = clock_.now();
     peers_.call(
         {it.record.address, it.record.port},
@@ -145,6 +155,9 @@
             member.responsive = true;
             member.confirmed = sent;
             member.leaving = answer->leaving;
+            member.speed = std::clamp(answer->speed, min_speed, 1.0);
+            member.round_trip =
+                std::chrono::duration_cast<milliseconds>(now - sent);
             if (answer->store_age_ms >= 0)
                 member.store_answered =
                     sent - milliseconds(answer->store_age_ms);
@@ -173,21 +186,49 @@
     return out;
 }
 
-std::optional<member_record>
-member_heartbeats::largest_with_store_access(base::steady_time after,
-                                             double above_capacity) const
+double member_heartbeats::suitability(const member_state& it) const
 {
-    std::optional<member_record> out;
+    const auto delay = it.round_trip - median_round_trip_;
+    return policy::suitability_of(it.record.resources,
+                                  {it.speed, std::max(delay, milliseconds(0))},
+                                  needs_);
+}
+
+std::optional<successor>
+member_heartbeats::best_with_store_access(base::steady_time after) const
+{
+    std::optional<successor> out;
     for (const auto& [name, it] : members_)
     {
-        const bool larger =
-            it.record.capacity > (out ? out->capacity : above_capacity);
-        if (is_recent(it) && !it.leaving && it.store_answered > after && larger)
-            out = it.record;
+        if (!is_recent(it) || it.leaving || it.store_answered <= after)
+            continue;
+        const double found = suitability(it);
+        if (!out || found > out->suitability)
+            out = successor{it.record, found};
     }
     return out;
 }
 
+void member_heartbeats::update_summary()
+{
+    std::vector<milliseconds> round_trips;
+    for (const auto& [name, it] : members_)
+        if (is_recent(it))
+            round_trips.push_back(it.round_trip);
+    median_round_trip_ = milliseconds(0);
+    if (!round_trips.empty())
+    {
+        const auto middle =
+            round_trips.begin() + std::ptrdiff_t(round_trips.size() / 2);
+        std::nth_element(round_trips.begin(), middle, round_trips.end());
+        median_round_trip_ = *middle;
+    }
+    best_suitability_ = 0;
+    for (const auto& [name, it] : members_)
+        if (is_recent(it) && !it.leaving)
+            best_suitability_ = std::max(best_suitability_, suitability(it));
+}
+
 std::vector<const member_record*> member_heartbeats::reachable() const
 {
     std::vector<const member_record*> out;
--- a/src/mustardwick/entry/settings.cpp
+++ b/src/mustardwick/entry/settings.cpp
@@ -64,16 +64,34 @@
     return out;
 }
 
-double read_capacity(base::object_reader& reader)
+/// Reads a number above 0 that may have a fraction.
+double read_positive(base::object_reader& reader, const char* name,
+                     double fallback, const char* remedy)
 {
-    const auto* value = reader.raw("capacity");
+    const auto* value = reader.raw(name);
     if (value == nullptr)
-        return 1.0;
+        return fallback;
     if (value->is_number() && value->as_double() > 0)
         return value->as_double();
-    reader.report("capacity", value->serialize(),
-                  "set a number above 0; 1.0 is one processor");
-    return 1.0;
+    reader.report(name, value->serialize(), remedy);
+    return fallback;
+}
+
+policy::host_resources read_resources(base::object_reader& reader)
+{
+    policy::host_resources out;
+    out.processors =
+        read_positive(reader, "capacity", out.processors,
+                      "set a number above 0; 1.0 is one processor");
+    out.link_mbps = read_positive(reader, "link_mbps", out.link_mbps,
+                                  "set a number of Mbit/s above 0");
+    out.memory_mb =
+        std::int64_t(read_positive(reader, "memory_mb", double(out.memory_mb),
+                                   "set a number of megabytes above 0"));
+    out.descriptors = std::int64_t(
+        read_positive(reader, "max_descriptors", double(out.descriptors),
+                      "set a number of descriptors above 0"));
+    return out;
 }
 
 } // namespace
@@ -103,7 +121,7 @@
         advisor != nullptr && advisor->is_string())
         out.advisor = wire::parse_endpoint(advisor->as_string())
                           .value_or(wire::endpoint{});
-    out.capacity = read_capacity(reader);
+    out.resources = read_resources(reader);
     if (const auto* limits = reader.raw("limits"))
         out.limits = read_limits(*limits, errors);
     out.log_level = base::parse_log_level(reader.text("log_level", "info"));
--- a/src/mustardwick/entry/stale_leader_test.cpp
+++ b/src/mustardwick/entry/stale_leader_test.cpp
@@ -26,7 +26,7 @@
           advice(io, {"127.0.0.1", 9}),
           leader(std::make_shared<cell_leader>(
               cell_leader::environment{io, clock, suspensions, options, client,
-                                       peers, advice, metrics},
+                                       peers, advice, metrics, processor},
               head_record{1, "a", "", 0, "", false}, store.version,
               [this](const std::optional<member_record>&)
               {
@@ -72,6 +72,7 @@
 
     base::system_suspend_clock suspensions;
     settings options;
+    processor_probe processor{clock};
     aio::peer_hub peers;
     platform::advice_client advice;
     bool lost = false;
