Bound what connections hold, each and together

Callers saw: eight connections that sent trailers or chunk extensions without end took a daemon from 14 MB to 2.7 GB in 6 s, and its process ended.

Cause: the read buffer of a connection had no limit, only the header and the decoded body did. Connections that send nothing used up the descriptors that workers, store and peers need, a peer that never authenticated itself could hold 2 MB, and a failed accept was retried at once.

Change: the read buffer is bounded; connection_guard bounds the bytes of all requests that are being received and sheds the one that holds most with a 503; limits on connections follow from the host's descriptors and memory, and a silent connection gives way to a new one. A peer has 3 s and 64 KB for its first frame. Refusals are counted by cause, logged once a second.

Unit tests of aio, entry, http, dispatch and platform pass.

--- a/include/mustardwick/aio/http_listener.hpp
+++ b/include/mustardwick/aio/http_listener.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "mustardwick/aio/connection_guard.hpp"
 #include "mustardwick/wire/endpoint.hpp"
 
 namespace mustardwick::aio
@@ -48,19 +49,22 @@
     std::chrono::milliseconds header_timeout{3000};
     /// Time without a request after which a connection is closed.
     std::chrono::milliseconds idle_timeout{15'000};
-    /// Further connections are closed when they are accepted.
+    /// Beyond it, a new connection takes the place of the one that has been
+    /// idle for longest, or is closed when none is idle.
     std::size_t max_connections = 2048;
 };
 
 /// @brief An asynchronous HTTP/1.1 server on one address.
 ///
 /// Handlers answer through a callback at any later time, so that a request that
-/// waits for another daemon does not block a thread.
+/// waits for another daemon does not block a thread. A request that exceeds a
+/// limit is refused before any part of it is handled.
 class http_listener
 {
 public:
     http_listener(boost::asio::io_context& io, wire::endpoint address,
-                  std::string deadline_header, request_handler handle);
+                  std::string deadline_header, connection_guard& guard,
+                  request_handler handle);
     ~http_listener();
     http_listener(const http_listener&) = delete;
     http_listener& operator=(const http_listener&) = delete;
--- a/include/mustardwick/aio/peer_hub.hpp
+++ b/include/mustardwick/aio/peer_hub.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "mustardwick/aio/connection_guard.hpp"
 #include "mustardwick/wire/endpoint.hpp"
 #include "mustardwick/wire/frame.hpp"
 
@@ -29,6 +30,17 @@
 using peer_handler =
     std::function<void(wire::message_type, std::string, peer_responder)>;
 
+/// @brief Limits on the connections that other processes open.
+struct peer_limits
+{
+    /// Beyond it, a new connection takes the place of one whose peer has not
+    /// authenticated itself, or is closed.
+    std::size_t max_incoming = 1024;
+    /// Time from accepting a connection to its first authenticated frame. A
+    /// daemon connects only when it has a frame to send.
+    std::chrono::milliseconds authentication_timeout{3000};
+};
+
 /// @brief Calls between daemons over one multiplexed TCP connection per peer.
 ///
 /// Frames carry cereal payloads and an authentication tag. When a call times
@@ -38,7 +50,8 @@
 {
 public:
     peer_hub(boost::asio::io_context& io, wire::endpoint listen,
-             std::string secret, peer_handler handle);
+             std::string secret, connection_guard& guard, peer_handler handle,
+             peer_limits limits = {});
     ~peer_hub();
     peer_hub(const peer_hub&) = delete;
     peer_hub& operator=(const peer_hub&) = delete;
--- a/include/mustardwick/entry/settings.hpp
+++ b/include/mustardwick/entry/settings.hpp
@@ -34,6 +34,23 @@
     milliseconds leadership_lease{3000};
 };
 
+/// @brief Limits on connections that other processes open. Together they leave
+/// a quarter of the descriptors to the store, the workers and outgoing calls.
+struct connection_limits
+{
+    /// Connections of callers.
+    std::size_t callers = 0;
+    /// Connections to each of the readiness and metrics ports.
+    std::size_t monitoring = 0;
+    /// Connections of other daemons.
+    std::size_t peers = 0;
+    /// Bytes of requests that are being received, on all connections together.
+    std::size_t max_bytes = 0;
+};
+
+/// @brief Returns the limits that suit a host.
+connection_limits default_connection_limits(const policy::host_resources& host);
+
 /// @brief Settings of an entry daemon that keeps its state in a remote store.
 struct settings
 {
@@ -48,6 +65,7 @@
     /// Resources of this host; they decide whether it leads.
     policy::host_resources resources;
     cell_limits limits;
+    connection_limits connections;
     base::log_level log_level = base::log_level::info;
 };
 
--- a/src/mustardwick/aio/framed_stream.hpp
+++ b/src/mustardwick/aio/framed_stream.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include "mustardwick/aio/connection_guard.hpp"
 #include "mustardwick/base/error.hpp"
 #include "mustardwick/base/log.hpp"
 #include "mustardwick/wire/frame.hpp"
@@ -39,6 +40,34 @@
         read();
     }
 
+    /// @brief Treats the peer as unknown until its first frame arrives: frames
+    /// are short and what it has sent counts towards the guard's limit.
+    void require_authentication(connection_guard& guard)
+    {
+        is_authenticated_ = false;
+        guard_ = &guard;
+        guard_id_ = guard.add(
+            [weak = weak_from_this()]
+            {
+                if (const auto self = weak.lock())
+                    self->is_shed_ = true;
+            });
+    }
+
+    bool is_authenticated() const
+    {
+        return is_authenticated_;
+    }
+
+    boost::asio::any_io_executor executor()
+    {
+        return socket_.get_executor();
+    }
+
+    /// Limit on the first frame of an unknown peer; calls about jobs take up to
+    /// 40,000 bytes.
+    static constexpr std::size_t max_first_frame_bytes = 64U << 10U;
+
     /// Limit on the bytes that are queued or being written, for a peer that
     /// does not read.
     static constexpr std::size_t max_unsent_bytes = 8U << 20U;
@@ -59,6 +88,7 @@
 
     void close()
     {
+        forget_guard();
         on_frame_ = nullptr;
         on_close_ = nullptr;
         boost::system::error_code ec;
@@ -78,8 +108,15 @@
                 if (ec)
                     return self->close_with(ec);
                 self->received_.append(self->buffer_.data(), n);
-                if (self->handle_frames() && self->socket_.is_open())
-                    self->read();
+                if (!self->handle_frames() || !self->socket_.is_open())
+                    return;
+                if (self->guard_ != nullptr)
+                    self->guard_->hold(self->guard_id_,
+                                       self->received_.capacity());
+                if (self->is_shed_)
+                    return self->close_with(
+                        boost::asio::error::no_buffer_space);
+                self->read();
             });
     }
 
@@ -93,6 +130,13 @@
                 std::span(received_).subspan(at, wire::length_bytes));
             if (!n)
                 return reject_frame();
+            if (!is_authenticated_ && *n > max_first_frame_bytes)
+            {
+                base::fail(base::error_kind::too_large,
+                           "the first frame of a connection is too long",
+                           "check that the sender is a mustardwick daemon");
+                return reject_frame();
+            }
             if (received_.size() - at - wire::length_bytes < *n)
                 break;
             const auto body =
@@ -101,6 +145,8 @@
             if (!frame)
                 return reject_frame();
             at += wire::length_bytes + *n;
+            is_authenticated_ = true;
+            forget_guard();
             // A copy, because the handler may close this stream, which resets
             // on_frame_.
             const auto handler = on_frame_;
@@ -140,6 +186,12 @@
         return false;
     }
 
+    void forget_guard()
+    {
+        if (guard_ != nullptr)
+            std::exchange(guard_, nullptr)->remove(guard_id_);
+    }
+
     void write_next()
     {
         writing_ = true;
@@ -182,6 +234,10 @@
     std::string batch_;
     std::size_t unsent_ = 0;
     bool writing_ = false;
+    bool is_authenticated_ = true;
+    bool is_shed_ = false;
+    connection_guard* guard_ = nullptr;
+    connection_guard::connection_id guard_id_ = 0;
 };
 
 } // namespace mustardwick::aio
--- a/src/mustardwick/aio/handler_errors_test.cpp
+++ b/src/mustardwick/aio/handler_errors_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include "guard_test.hpp"
 #include "mustardwick/aio/http_channel.hpp"
 #include "mustardwick/aio/http_listener.hpp"
 #include "mustardwick/aio/peer_hub.hpp"
@@ -17,7 +18,7 @@
     base::set_up_log("test", base::log_level::error);
     boost::asio::io_context io;
     const wire::endpoint where{"127.0.0.1", 18'743};
-    http_listener server(io, where, "Deadline-Ms",
+    http_listener server(io, where, "Deadline-Ms", aio::test::ample_guard(),
                          [](const auto& request, const auto& respond)
                          {
                              if (request.target == "/odd")
@@ -60,8 +61,9 @@
     boost::asio::io_context io;
     const wire::endpoint left{"127.0.0.1", 18'745};
     const wire::endpoint right{"127.0.0.1", 18'747};
-    peer_hub caller(io, left, "secret", [](auto, const auto&, const auto&) {});
-    peer_hub server(io, right, "secret",
+    peer_hub caller(io, left, "secret", aio::test::ample_guard(),
+                    [](auto, const auto&, const auto&) {});
+    peer_hub server(io, right, "secret", aio::test::ample_guard(),
                     [](auto, const std::string& payload, const auto& respond)
                     {
                         if (payload == "odd")
@@ -95,8 +97,9 @@
     boost::asio::io_context io;
     const wire::endpoint left{"127.0.0.1", 18'749};
     const wire::endpoint right{"127.0.0.1", 18'751};
-    peer_hub caller(io, left, "secret", [](auto, const auto&, const auto&) {});
-    peer_hub server(io, right, "secret",
+    peer_hub caller(io, left, "secret", aio::test::ample_guard(),
+                    [](auto, const auto&, const auto&) {});
+    peer_hub server(io, right, "secret", aio::test::ample_guard(),
                     [](auto, const std::string& payload, const auto& respond)
                     {
                         respond(payload);
--- a/src/mustardwick/aio/http_channel.cpp
+++ b/src/mustardwick/aio/http_channel.cpp
@@ -25,6 +25,10 @@
 using steady = std::chrono::steady_clock;
 using boost::system::error_code;
 
+/// Limits what a peer can send between the parts of a body, such as chunk
+/// extensions and trailers.
+constexpr std::size_t max_read_buffer_bytes = 64U << 10U;
+
 /// Returns whether the peer has closed an idle connection or has sent bytes
 /// outside of a call.
 bool is_stale(int fd)
@@ -181,7 +185,7 @@
 
     std::shared_ptr<http_channel> owner_;
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_read_buffer_bytes};
     http::request<http::string_body> request_;
     std::optional<http::response_parser<http::string_body>> parser_;
     std::optional<waiting_call> current_;
--- a/src/mustardwick/aio/http_channel_test.cpp
+++ b/src/mustardwick/aio/http_channel_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include "guard_test.hpp"
 #include "mustardwick/aio/http_listener.hpp"
 
 using namespace mustardwick;
@@ -37,7 +38,7 @@
         boost::asio::io_context io;
         const wire::endpoint where{"127.0.0.1", port++};
         std::vector<responder> unanswered;
-        http_listener server(io, where, "Deadline-Ms",
+        http_listener server(io, where, "Deadline-Ms", aio::test::ample_guard(),
                              [&](const auto&, const auto& respond)
                              {
                                  if (it.answers)
--- a/src/mustardwick/aio/http_listener.cpp
+++ b/src/mustardwick/aio/http_listener.cpp
@@ -31,6 +31,14 @@
 constexpr milliseconds write_timeout{5000};
 /// Time in which the first request of a new connection arrives.
 constexpr milliseconds first_request_delay{300};
+/// Bytes beyond the header that are buffered while a request is parsed. With
+/// the header it bounds what a client can send between the parts of a body,
+/// such as chunk extensions and trailers.
+constexpr std::size_t read_ahead_bytes = 16U << 10U;
+/// Delay after a failed accept: without free descriptors, an immediate retry
+/// would fail again and keep the thread busy.
+constexpr milliseconds accept_retry_delay{100};
+constexpr milliseconds shed_retry_after{1000};
 
 std::string text_of(boost::beast::string_view text)
 {
@@ -52,11 +60,20 @@
 {
     if (ec == http::error::body_limit)
         return 413;
-    if (ec == http::error::header_limit)
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
         return 431;
     return 400;
 }
 
+std::string_view cause_of_read_error(error_code ec)
+{
+    if (ec == http::error::body_limit)
+        return "body too large";
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+        return "header too large";
+    return "malformed request";
+}
+
 /// Returns whether a read failed because the connection was closed or timed
 /// out, so that no error response is sent.
 bool is_connection_lost(error_code ec)
@@ -73,23 +90,29 @@
     class session;
 
     impl(asio::io_context& context, wire::endpoint where, std::string header,
-         request_handler handler)
+         connection_guard& connections, request_handler handler)
         : io(context), address(std::move(where)),
-          deadline_header(std::move(header)), handle(std::move(handler)),
-          acceptor(context)
+          deadline_header(std::move(header)), guard(connections),
+          handle(std::move(handler)), acceptor(context), accept_timer(context)
     {
     }
 
     void accept();
-    void accepted(error_code ec, asio::ip::tcp::socket socket);
+    void accept_later();
+    void accepted(asio::ip::tcp::socket socket);
+    /// Closes the connection that has been idle for longest; returns false when
+    /// none is idle.
+    bool close_longest_idle();
     /// Accepts the connections that wait to be accepted.
     void accept_established();
 
     asio::io_context& io;
     wire::endpoint address;
     std::string deadline_header;
+    connection_guard& guard;
     request_handler handle;
     asio::ip::tcp::acceptor acceptor;
+    asio::steady_timer accept_timer;
     listener_limits limits;
     std::set<std::shared_ptr<session>> sessions;
     std::size_t open_requests = 0;
@@ -105,12 +128,22 @@
     {
     }
 
+    void start()
+    {
+        guard_id_ = owner_->guard.add(
+            [weak = weak_from_this()]
+            {
+                if (const auto self = weak.lock())
+                    self->shed();
+            });
+        wait_for_request();
+    }
+
     void wait_for_request()
     {
         busy_ = false;
-        parser_.emplace();
-        parser_->header_limit(owner_->limits.max_header_bytes);
-        parser_->body_limit(owner_->limits.max_body_bytes);
+        idle_since_ = steady::now();
+        prepare_parser();
         stream_.expires_after(owner_->limits.idle_timeout);
         // header_timeout limits the time from the first byte of a request to
         // its end. Until that byte, idle_timeout applies.
@@ -129,6 +162,11 @@
         return busy_;
     }
 
+    steady::time_point idle_since() const
+    {
+        return idle_since_;
+    }
+
     /// Returns whether no request is in progress, in the socket's buffer, or
     /// about to arrive on a new connection.
     bool is_idle()
@@ -141,6 +179,7 @@
 
     void close()
     {
+        owner_->guard.remove(guard_id_);
         idle_timer_.reset();
         error_code ignored;
         stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_both,
@@ -162,36 +201,79 @@
             });
     }
 
+    void prepare_parser()
+    {
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->header_limit(owner_->limits.max_header_bytes);
+        parser_->body_limit(owner_->limits.max_body_bytes);
+        buffer_.max_size(owner_->limits.max_header_bytes + read_ahead_bytes);
+    }
+
     void read_request()
     {
         idle_timer_.reset();
         busy_ = true;
         stream_.expires_after(owner_->limits.header_timeout);
-        http::async_read(stream_, buffer_, *parser_,
-                         [self = shared_from_this()](error_code ec, std::size_t)
-                         {
-                             if (ec)
-                                 return self->reject(ec);
-                             self->serve();
-                         });
+        read_part();
+    }
+
+    /// Reads in parts, so that the bytes held so far are counted.
+    void read_part()
+    {
+        http::async_read_some(
+            stream_, buffer_, *parser_,
+            [self = shared_from_this()](error_code ec, std::size_t)
+            {
+                if (self->is_shed_)
+                    return self->refuse(503, shed_retry_after);
+                if (ec)
+                    return self->reject(ec);
+                if (self->parser_->is_done())
+                    return self->serve();
+                self->owner_->guard.hold(
+                    self->guard_id_,
+                    self->buffer_.capacity() +
+                        self->parser_->get().body().capacity());
+                // The guard may have shed this connection.
+                if (self->is_shed_)
+                    return self->refuse(503, shed_retry_after);
+                self->read_part();
+            });
+    }
+
+    /// Ends a request that is being received, to free its memory.
+    void shed()
+    {
+        owner_->guard.refused("listener", "connection memory");
+        is_shed_ = true;
+        stream_.cancel();
     }
 
     void reject(error_code ec)
     {
         if (is_connection_lost(ec))
             return close();
-        base::log_event(base::log_level::warning, "listener", "request_refused",
-                        {{"reason", ec.message()}});
+        owner_->guard.refused("listener", cause_of_read_error(ec));
+        refuse(status_of_read_error(ec), std::nullopt);
+    }
+
+    /// Answers a request that was not received completely, and closes.
+    void refuse(int status, std::optional<milliseconds> retry_after)
+    {
         parser_.emplace();
+        buffer_.clear();
+        buffer_.shrink_to_fit();
         keep_alive_ = false;
         ++owner_->open_requests;
         answered_ = false;
-        answer({status_of_read_error(ec), "{}", "application/json", {}});
+        answer({status, "{}", "application/json", retry_after});
     }
 
     void serve()
     {
         stream_.expires_never();
+        owner_->guard.hold(guard_id_, 0);
         auto& message = parser_->get();
         keep_alive_ = message.keep_alive();
         incoming_request out;
@@ -269,9 +351,7 @@
             return close();
         if (buffer_.size() > 0)
         {
-            parser_.emplace();
-            parser_->header_limit(owner_->limits.max_header_bytes);
-            parser_->body_limit(owner_->limits.max_body_bytes);
+            prepare_parser();
             return read_request();
         }
         wait_for_request();
@@ -286,21 +366,42 @@
     bool keep_alive_ = true;
     bool busy_ = false;
     bool answered_ = false;
+    /// The request that is being received is refused to free its memory.
+    bool is_shed_ = false;
+    connection_guard::connection_id guard_id_ = 0;
     /// A request was received.
     bool served_ = false;
     steady::time_point accepted_ = steady::now();
+    steady::time_point idle_since_ = accepted_;
 };
 
-void http_listener::impl::accepted(error_code ec, asio::ip::tcp::socket socket)
+bool http_listener::impl::close_longest_idle()
 {
-    if (ec || sessions.size() >= limits.max_connections)
-        return base::log_event(
-            base::log_level::warning, "listener", "connection_refused",
-            {{"reason", ec ? ec.message() : "too many connections"}});
+    // The socket is asked only of one connection: a crowd of them would cost a
+    // system call for each connection that another client opens.
+    std::shared_ptr<session> longest;
+    for (const auto& it : sessions)
+        if (!it->is_busy() &&
+            (!longest || it->idle_since() < longest->idle_since()))
+            longest = it;
+    if (!longest || !longest->is_idle())
+        return false;
+    longest->close();
+    return true;
+}
+
+void http_listener::impl::accepted(asio::ip::tcp::socket socket)
+{
+    if (sessions.size() >= limits.max_connections)
+    {
+        guard.refused("listener", "too many connections");
+        if (!close_longest_idle())
+            return;
+    }
     set_low_latency(socket);
     auto it = std::make_shared<session>(shared_from_this(), std::move(socket));
     sessions.insert(it);
-    it->wait_for_request();
+    it->start();
 }
 
 void http_listener::impl::accept_established()
@@ -312,10 +413,22 @@
         asio::ip::tcp::socket socket(io);
         acceptor.accept(socket, ec);
         if (!ec)
-            accepted(ec, std::move(socket));
+            accepted(std::move(socket));
     }
 }
 
+void http_listener::impl::accept_later()
+{
+    guard.refused("listener", "accept failed");
+    accept_timer.expires_after(accept_retry_delay);
+    accept_timer.async_wait(
+        [self = shared_from_this()](error_code ec)
+        {
+            if (!ec && self->acceptor.is_open())
+                self->accept();
+        });
+}
+
 void http_listener::impl::accept()
 {
     acceptor.async_accept(
@@ -323,16 +436,18 @@
         {
             if (ec == asio::error::operation_aborted)
                 return;
-            self->accepted(ec, std::move(socket));
+            if (ec)
+                return self->accept_later();
+            self->accepted(std::move(socket));
             self->accept();
         });
 }
 
 http_listener::http_listener(asio::io_context& io, wire::endpoint address,
                              std::string deadline_header,
-                             request_handler handle)
+                             connection_guard& guard, request_handler handle)
     : impl_(std::make_shared<impl>(io, std::move(address),
-                                   std::move(deadline_header),
+                                   std::move(deadline_header), guard,
                                    std::move(handle)))
 {
 }
@@ -341,6 +456,7 @@
 {
     error_code ec;
     impl_->acceptor.close(ec);
+    impl_->accept_timer.cancel();
     const auto sessions = impl_->sessions;
     for (const auto& it : sessions)
         if (!it->is_busy())
--- a/src/mustardwick/aio/http_listener_test.cpp
+++ b/src/mustardwick/aio/http_listener_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
+#include "guard_test.hpp"
 #include "mustardwick/base/log.hpp"
 
 using namespace mustardwick;
@@ -57,7 +58,7 @@
     {
         asio::io_context io;
         const wire::endpoint where{"127.0.0.1", it.port};
-        http_listener server(io, where, "Deadline-Ms",
+        http_listener server(io, where, "Deadline-Ms", aio::test::ample_guard(),
                              [](const auto&, const auto& respond)
                              {
                                  respond({200, "{}", "application/json", {}});
--- a/src/mustardwick/aio/peer_hub.cpp
+++ b/src/mustardwick/aio/peer_hub.cpp
@@ -1,6 +1,7 @@
 #include "mustardwick/aio/peer_hub.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <set>
 #include <vector>
 
@@ -25,6 +26,9 @@
 
 /// Timeout for connecting to a peer and receiving its challenge.
 constexpr std::chrono::milliseconds connect_timeout{700};
+/// Delay after a failed accept: without free descriptors, an immediate retry
+/// would fail again and keep the thread busy.
+constexpr std::chrono::milliseconds accept_retry_delay{100};
 
 } // namespace
 
@@ -59,9 +63,11 @@
     };
 
     impl(asio::io_context& context, wire::endpoint where, std::string key,
-         peer_handler handler)
+         connection_guard& connections, peer_handler handler,
+         peer_limits connection_limits)
         : io(context), listen(std::move(where)), secret(std::move(key)),
-          handle(std::move(handler)), acceptor(context)
+          guard(connections), handle(std::move(handler)),
+          limits(connection_limits), acceptor(context), accept_timer(context)
     {
     }
 
@@ -218,14 +224,74 @@
             {
                 if (ec == asio::error::operation_aborted)
                     return;
-                if (!ec)
-                    self->serve(std::move(socket));
+                if (ec)
+                    return self->accept_later();
+                self->serve(std::move(socket));
                 self->accept();
             });
     }
 
+    void accept_later()
+    {
+        guard.refused("peers", "accept failed");
+        accept_timer.expires_after(accept_retry_delay);
+        accept_timer.async_wait(
+            [self = shared_from_this()](error_code ec)
+            {
+                if (!ec && self->acceptor.is_open())
+                    self->accept();
+            });
+    }
+
+    /// Closes the connection that has waited longest for its first frame;
+    /// returns false when all peers are authenticated.
+    bool close_unknown()
+    {
+        while (!unknown.empty())
+        {
+            const auto it = unknown.front().lock();
+            unknown.pop_front();
+            if (it && !it->is_authenticated() && incoming.erase(it) > 0)
+            {
+                it->close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /// Closes a connection whose peer does not authenticate itself in time.
+    void expect_authentication(const std::shared_ptr<framed_stream>& stream)
+    {
+        unknown.push_back(stream);
+        const auto timer = std::make_shared<asio::steady_timer>(
+            io, limits.authentication_timeout);
+        timer->async_wait(
+            [self = shared_from_this(), timer,
+             weak = std::weak_ptr(stream)](error_code)
+            {
+                const auto it = weak.lock();
+                std::erase_if(self->unknown,
+                              [&](const auto& other)
+                              {
+                                  return other.expired() || other.lock() == it;
+                              });
+                if (!it || it->is_authenticated() ||
+                    self->incoming.erase(it) == 0)
+                    return;
+                self->guard.refused("peers", "not authenticated");
+                it->close();
+            });
+    }
+
     void serve(tcp::socket socket)
     {
+        if (incoming.size() >= limits.max_incoming)
+        {
+            guard.refused("peers", "too many connections");
+            if (!close_unknown())
+                return;
+        }
         set_low_latency(socket);
         const auto challenge =
             std::make_shared<std::string>(wire::make_challenge());
@@ -245,6 +311,8 @@
         auto stream = std::make_shared<framed_stream>(
             std::move(socket), wire::connection_key(secret, challenge));
         incoming.insert(stream);
+        stream->require_authentication(guard);
+        expect_authentication(stream);
         const std::weak_ptr<framed_stream> weak = stream;
         stream->run(
             [self = shared_from_this(), weak](wire::frame frame)
@@ -267,18 +335,24 @@
     asio::io_context& io;
     wire::endpoint listen;
     std::string secret;
+    connection_guard& guard;
     peer_handler handle;
+    peer_limits limits;
     tcp::acceptor acceptor;
+    asio::steady_timer accept_timer;
     std::map<wire::endpoint, link> links;
     std::set<std::shared_ptr<framed_stream>> incoming;
+    /// Incoming connections without an authenticated frame, oldest first.
+    std::deque<std::weak_ptr<framed_stream>> unknown;
     std::uint64_t last_id = 0;
     bool stopped = false;
 };
 
 peer_hub::peer_hub(asio::io_context& io, wire::endpoint listen,
-                   std::string secret, peer_handler handle)
+                   std::string secret, connection_guard& guard,
+                   peer_handler handle, peer_limits limits)
     : impl_(std::make_shared<impl>(io, std::move(listen), std::move(secret),
-                                   std::move(handle)))
+                                   guard, std::move(handle), limits))
 {
 }
 
@@ -307,6 +381,7 @@
     impl_->stopped = true;
     error_code ec;
     impl_->acceptor.close(ec);
+    impl_->accept_timer.cancel();
     const auto incoming = std::move(impl_->incoming);
     impl_->incoming.clear();
     for (const auto& it : incoming)
--- a/src/mustardwick/entry/entry_node.cpp
+++ b/src/mustardwick/entry/entry_node.cpp
@@ -51,13 +51,13 @@
             call_leader(type, payload, deadline, false, done);
         });
     callers = std::make_unique<aio::http_listener>(
-        io, options.callers, platform::deadline_header,
+        io, options.callers, platform::deadline_header, guard,
         [this](const auto& request, auto respond)
         {
             caller_gateway->handle(request, std::move(respond));
         });
     readiness = std::make_unique<aio::http_listener>(
-        io, options.readiness, platform::deadline_header,
+        io, options.readiness, platform::deadline_header, guard,
         [this](const auto& request, const auto& respond)
         {
             const bool known = request.target == platform::readiness_path;
@@ -65,11 +65,17 @@
             respond({known ? status : not_found, "{}", "application/json", {}});
         });
     metrics_page = std::make_unique<aio::http_listener>(
-        io, options.metrics, platform::deadline_header,
+        io, options.metrics, platform::deadline_header, guard,
         [this](const auto&, const auto& respond)
         {
             respond({ok, metrics.render(), "text/plain; version=0.0.4", {}});
         });
+    aio::listener_limits limits;
+    limits.max_connections = options.connections.callers;
+    callers->set_limits(limits);
+    limits.max_connections = options.connections.monitoring;
+    readiness->set_limits(limits);
+    metrics_page->set_limits(limits);
     if (!callers->start() || !readiness->start() || !metrics_page->start())
         return false;
     config->start();
@@ -129,12 +135,13 @@
 void entry_node::impl::start_peers(const std::string& secret)
 {
     peers = std::make_unique<aio::peer_hub>(
-        io, options.peers, secret,
+        io, options.peers, secret, guard,
         [this](message_type type, const std::string& payload,
                const aio::peer_responder& respond)
         {
             on_peer_message(type, payload, respond);
-        });
+        },
+        aio::peer_limits{.max_incoming = options.connections.peers});
     if (!peers->start())
     {
         log_event(log_level::error, "daemon", "peer_start_failed",
@@ -187,6 +194,7 @@
     {
         const auto& limits = state.configuration->limits;
         aio::listener_limits out;
+        out.max_connections = options.connections.callers;
         out.max_header_bytes = std::uint32_t(limits.max_header_bytes);
         out.max_body_bytes = std::uint64_t(limits.max_body_bytes);
         out.header_timeout = milliseconds(limits.header_timeout_ms);
--- a/src/mustardwick/entry/entry_node_impl.hpp
+++ b/src/mustardwick/entry/entry_node_impl.hpp
@@ -73,6 +73,7 @@
     base::system_suspend_clock suspensions;
     base::metrics metrics;
     settings options;
+    aio::connection_guard guard{clock, metrics, options.connections.max_bytes};
     platform::store_client store;
     platform::advice_client advice;
     asio::signal_set signals;
--- a/src/mustardwick/entry/head_store_test.hpp
+++ b/src/mustardwick/entry/head_store_test.hpp
@@ -12,6 +12,7 @@
 #include "mustardwick/base/error.hpp"
 #include "mustardwick/base/log.hpp"
 #include "platform/store_client.hpp"
+#include "src/mustardwick/aio/guard_test.hpp"
 
 namespace mustardwick::entry::test
 {
@@ -125,7 +126,7 @@
 {
     store_fixture(std::uint16_t port, store_fault fault, std::string head)
         : store{io, fault, 0, 4, std::move(head)}, address{"127.0.0.1", port},
-          listener(io, address, "Deadline-Ms",
+          listener(io, address, "Deadline-Ms", aio::test::ample_guard(),
                    [this](const auto& request, auto respond)
                    {
                        store.handle(request, respond);
--- a/src/mustardwick/entry/member_heartbeats_test.cpp
+++ b/src/mustardwick/entry/member_heartbeats_test.cpp
@@ -7,6 +7,7 @@
 #include "mustardwick/base/error.hpp"
 #include "mustardwick/base/log.hpp"
 #include "mustardwick/wire/codec.hpp"
+#include "src/mustardwick/aio/guard_test.hpp"
 
 using namespace mustardwick;
 using namespace mustardwick::entry;
@@ -35,9 +36,9 @@
         const wire::endpoint leader{"127.0.0.1", it.port};
         const wire::endpoint member{"127.0.0.1", std::uint16_t(it.port + 1)};
         int heartbeats = 0;
-        aio::peer_hub from(io, leader, secret,
+        aio::peer_hub from(io, leader, secret, aio::test::ample_guard(),
                            [](auto, const auto&, const auto&) {});
-        aio::peer_hub to(io, member, secret,
+        aio::peer_hub to(io, member, secret, aio::test::ample_guard(),
                          [&](auto, const auto&, const auto& respond)
                          {
                              ++heartbeats;
@@ -77,9 +78,12 @@
     };
     const wire::endpoint addresses[] = {
         {"127.0.0.1", 27451}, {"127.0.0.1", 27453}, {"127.0.0.1", 27455}};
-    aio::peer_hub leader(io, addresses[0], secret, ignore);
-    aio::peer_hub answering(io, addresses[1], secret, reply);
-    aio::peer_hub refusing(io, addresses[2], secret, reply);
+    aio::peer_hub leader(io, addresses[0], secret, aio::test::ample_guard(),
+                         ignore);
+    aio::peer_hub answering(io, addresses[1], secret, aio::test::ample_guard(),
+                            reply);
+    aio::peer_hub refusing(io, addresses[2], secret, aio::test::ample_guard(),
+                           reply);
     cr_assert(leader.start() && answering.start() && refusing.start(), "%s",
               base::last_error().text().c_str());
     const auto sender = std::make_shared<member_heartbeats>(
--- a/src/mustardwick/entry/settings.cpp
+++ b/src/mustardwick/entry/settings.cpp
@@ -1,5 +1,6 @@
 #include "mustardwick/entry/settings.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 #include "mustardwick/base/error.hpp"
@@ -94,8 +95,47 @@
     return out;
 }
 
+constexpr std::int64_t max_connections = 1'000'000;
+constexpr std::int64_t max_connection_memory_mb = 1 << 20;
+constexpr std::size_t bytes_per_mb = 1U << 20U;
+
+connection_limits read_connections(const web::json::value& value,
+                                   const policy::host_resources& host,
+                                   std::vector<std::string>& errors)
+{
+    base::object_reader reader(value, "connections", errors);
+    auto out = default_connection_limits(host);
+    const auto read = [&](const char* name, std::size_t& field)
+    {
+        field = std::size_t(
+            reader.number(name, std::int64_t(field), 1, max_connections));
+    };
+    read("callers", out.callers);
+    read("monitoring", out.monitoring);
+    read("peers", out.peers);
+    out.max_bytes = bytes_per_mb *
+                    std::size_t(reader.number(
+                        "memory_mb", std::int64_t(out.max_bytes / bytes_per_mb),
+                        1, max_connection_memory_mb));
+    reader.finish();
+    return out;
+}
+
 } // namespace
 
+connection_limits default_connection_limits(const policy::host_resources& host)
+{
+    const auto n = std::size_t(std::max<std::int64_t>(host.descriptors, 64));
+    const auto memory_mb =
+        std::size_t(std::max<std::int64_t>(host.memory_mb, 1));
+    connection_limits out;
+    out.callers = std::min<std::size_t>(n * 3 / 8, 2048);
+    out.monitoring = std::min<std::size_t>(n / 32, 32);
+    out.peers = std::min<std::size_t>(n / 4, 4096);
+    out.max_bytes = std::max<std::size_t>(memory_mb / 5, 1) * bytes_per_mb;
+    return out;
+}
+
 std::optional<settings> parse_settings(std::string_view text,
                                        std::vector<std::string>& errors)
 {
@@ -122,6 +162,9 @@
         out.advisor = wire::parse_endpoint(advisor->as_string())
                           .value_or(wire::endpoint{});
     out.resources = read_resources(reader);
+    out.connections = default_connection_limits(out.resources);
+    if (const auto* connections = reader.raw("connections"))
+        out.connections = read_connections(*connections, out.resources, errors);
     if (const auto* limits = reader.raw("limits"))
         out.limits = read_limits(*limits, errors);
     out.log_level = base::parse_log_level(reader.text("log_level", "info"));
--- a/src/mustardwick/entry/stale_leader_test.cpp
+++ b/src/mustardwick/entry/stale_leader_test.cpp
@@ -6,6 +6,7 @@
 #include "head_store_test.hpp"
 #include "mustardwick/entry/cell_leader.hpp"
 #include "mustardwick/wire/codec.hpp"
+#include "src/mustardwick/aio/guard_test.hpp"
 
 using namespace mustardwick;
 using namespace mustardwick::entry;
@@ -21,7 +22,7 @@
 {
     explicit leader_fixture(std::uint16_t port)
         : store_fixture(port, store_fault::none, {}),
-          peers(io, {"127.0.0.1", 0}, "secret",
+          peers(io, {"127.0.0.1", 0}, "secret", aio::test::ample_guard(),
                 [](message_type, const std::string&, const auto&) {}),
           advice(io, {"127.0.0.1", 9}),
           leader(std::make_shared<cell_leader>(
--- a/src/mustardwick/entry/worker_links_test.cpp
+++ b/src/mustardwick/entry/worker_links_test.cpp
@@ -5,6 +5,7 @@
 
 #include "mustardwick/aio/http_listener.hpp"
 #include "mustardwick/base/error.hpp"
+#include "src/mustardwick/aio/guard_test.hpp"
 #include "src/mustardwick/dispatch/planner_fixture_test.hpp"
 
 using namespace mustardwick;
@@ -140,7 +141,7 @@
     const wire::endpoint address{"127.0.0.1", 27431};
     int renewals = 0;
     aio::http_listener listener(
-        io, address, "Deadline-Ms",
+        io, address, "Deadline-Ms", aio::test::ample_guard(),
         [&](const auto&, auto respond)
         {
             ++renewals;
