Learn the speed of workers, and let slack decide who gets fast ones

Callers saw: on workers of unlike speed (a factor of 2.4) a third of the balance enquiries were late, because a slot of a slow worker was taken for one of a fast worker.

Change: policy/worker_speed learns each worker's speed from run times against estimates and keeps the error of a queue's and a step's estimates apart. Candidates and advice queries are ordered by whether the worker is fast enough for the step's slack, only where speeds differ by more than chance. One row keeps the speeds over a change of leaders.

Tests: policy (37) and dispatch (69) pass.

--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -14,6 +14,7 @@
 #include "mustardwick/jobs/configuration.hpp"
 #include "mustardwick/jobs/record.hpp"
 #include "mustardwick/policy/advice_plan.hpp"
+#include "mustardwick/policy/worker_speed.hpp"
 
 namespace mustardwick::dispatch
 {
@@ -38,6 +39,8 @@
     int failed_run = 0;
     /// No task of the step is started again before this time.
     base::steady_time not_before;
+    /// Run times of the tasks that have ended.
+    policy::estimate_baseline run_times;
     /// Since when no host has been able to take any of the waiting tasks.
     std::optional<base::steady_time> blocked_since;
 };
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -19,9 +19,11 @@
 #include "mustardwick/dispatch/progress_blocks.hpp"
 #include "mustardwick/dispatch/row_change.hpp"
 #include "mustardwick/dispatch/unfinished_change.hpp"
+#include "mustardwick/dispatch/worker_speed_rows.hpp"
 #include "mustardwick/jobs/configuration.hpp"
 #include "mustardwick/policy/failure_attribution.hpp"
 #include "mustardwick/policy/urgency.hpp"
+#include "mustardwick/policy/worker_speed.hpp"
 
 namespace mustardwick::dispatch
 {
@@ -112,6 +114,8 @@
     /// @brief Restores the queues of the jobs that a former leader persisted;
     /// only then rows of queues are written.
     void restore_queues(const std::map<std::string, jobs::queue>& stored);
+    /// @brief Restores the speeds of workers that a former leader learned.
+    void restore_speeds(std::string_view text);
     /// @brief Removes rows that belong to no job.
     void discard(std::vector<row_change> removals);
     void worker_listed(const jobs::worker_info& info);
@@ -177,6 +181,15 @@
     }
     /// @}
 
+    /// @brief Returns the learned speeds of the listed workers, to be restored
+    /// by a successor.
+    std::string encode_speeds() const;
+    /// @brief Returns the learned speed of a worker relative to the average.
+    double speed_of(const host_state& host) const
+    {
+        return speeds_.speed(host.index);
+    }
+
     /// @brief Runs a placement round if one is due and returns the orders and
     /// queries to send.
     ///
@@ -323,6 +336,14 @@
     std::int64_t estimated_clock(const host_state& host) const;
     void update_clock(host_state& host, std::int64_t clock_ms);
 
+    // planner_speed.cpp
+    /// @brief Learns the speed of a host from a run that has succeeded.
+    void record_run_time(const host_state& host, const running& it);
+    /// @brief Returns the speed at which a step is likely to be in time; 0 when
+    /// it can earn nothing.
+    double needed_speed_of(const ready_step& step) const;
+    void apply_saved_speed(host_state& host);
+
     // planner_place.cpp
     void place_waiting_steps();
     std::vector<ready_step> collect_ready_steps();
@@ -335,7 +356,7 @@
     int tasks_within_maximum(job_run& job, const policy::resources& size);
     static std::int64_t objective_of(const job_run& job,
                                      const jobs::queue& queue);
-    policy::waiting_step urgency_inputs(job_run& job);
+    policy::waiting_step urgency_inputs(job_run& job) const;
     void assign(const ready_step& step, int index, int run,
                 const candidate& where);
 
@@ -410,6 +431,9 @@
     /// Hosts by index; null once a host is removed.
     std::vector<host_state*> host_at_;
     policy::failure_attribution<std::size_t, jobs::task_key> failures_;
+    policy::worker_speeds speeds_;
+    /// Speeds that a former leader learned of workers that are not listed yet.
+    std::map<std::string, worker_speed_row, std::less<>> saved_speeds_;
     std::map<std::string, account_usage, std::less<>> accounts_;
     std::map<std::string, policy::allowed_share, std::less<>> allowed_share_;
     std::deque<std::string> dirty_;
--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -94,6 +94,9 @@
     void load_table(const std::string& table);
     void load_row(const durable::row& row);
     void load_members();
+    void load_speeds();
+    /// @brief Adds the learned speeds to a transaction if they are due.
+    void add_speeds(durable::transaction& changes);
     void loaded();
     void read_registry();
     void registry_read(std::vector<durable::row> rows, std::int64_t version);
@@ -143,6 +146,7 @@
     base::steady_time started_;
     base::steady_time next_status_;
     base::steady_time next_check_;
+    base::steady_time next_speeds_;
     /// Delay of the last leadership check, which a busy or slow processor
     /// causes.
     std::chrono::milliseconds lag_{0};
@@ -182,6 +186,8 @@
 inline const std::string member_partition = "members";
 inline const std::string head_key = "head";
 inline const std::string secret_key = "secret";
+/// Learned speeds of workers.
+inline const std::string speeds_key = "speeds";
 /// @}
 
 } // namespace mustardwick::entry
--- a/src/mustardwick/dispatch/planner_advice.cpp
+++ b/src/mustardwick/dispatch/planner_advice.cpp
@@ -138,6 +138,8 @@
                          if (left.runs_idle_cpu_work !=
                              right.runs_idle_cpu_work)
                              return right.runs_idle_cpu_work;
+                         if (left.speed_rank != right.speed_rank)
+                             return left.speed_rank < right.speed_rank;
                          // Small tasks fill up used hosts, so that large gaps
                          // remain for large tasks.
                          if (is_small)
--- a/src/mustardwick/dispatch/planner_hosts.cpp
+++ b/src/mustardwick/dispatch/planner_hosts.cpp
@@ -158,6 +158,7 @@
     const bool tickets_only = step.queue->advice && !may_query(step);
     const auto with_tickets =
         tickets_only ? allowed_hosts(step) : std::vector<host_state*>();
+    const double needed_speed = needed_speed_of(step);
     const auto examine = [&](host_state* host)
     {
         if (state.access.is_denied(host->index))
@@ -168,6 +169,8 @@
         if ((it.slots == 0 && !reserves) || has_failed_on(step, *host))
             return;
         it.host = host;
+        it.speed_rank =
+            policy::speed_rank(speeds_.speed(host->index), needed_speed);
         it.is_quarantined = !is_usable(*host, step.queue->service);
         it.is_held = host->held_until > now &&
                      host->held_for != step.job->specification.id;
@@ -208,6 +211,8 @@
                 return right.is_held;
             if (left.runs_idle_cpu_work != right.runs_idle_cpu_work)
                 return right.runs_idle_cpu_work;
+            if (left.speed_rank != right.speed_rank)
+                return left.speed_rank < right.speed_rank;
             return left.host->free().millicpus < right.host->free().millicpus;
         });
     return allowed;
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -103,7 +103,7 @@
     return out;
 }
 
-policy::waiting_step planner::urgency_inputs(job_run& job)
+policy::waiting_step planner::urgency_inputs(job_run& job) const
 {
     if (job.remaining_chain_ms < 0)
     {
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -35,6 +35,7 @@
                    {"draining", int(info.draining)},
                    {"incarnation_start_ms", info.incarnation_start_ms}});
     host.info = info;
+    apply_saved_speed(host);
     placement_due_ = true;
 }
 
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -302,6 +302,8 @@
     const bool ran_well = run != host.runs.end() && run->second.long_running &&
                           run->second.phase == run_phase::started &&
                           clock_.now() - run->second.started > healthy_run_time;
+    if (run != host.runs.end() && end.outcome == jobs::run_outcome::done)
+        record_run_time(host, run->second);
     remove_run(host, {end.task, end.run});
     const bool failed = end.outcome == jobs::run_outcome::failed;
     auto* job = find_job(end.task.job);
@@ -370,6 +372,7 @@
     host.last_applied_end = 0;
     host.clock_ms = 0;
     failures_.forget(host.index);
+    speeds_.forget(host.index);
 }
 
 void planner::handle_expired_leases()
--- a/src/mustardwick/dispatch/ready_step.hpp
+++ b/src/mustardwick/dispatch/ready_step.hpp
@@ -24,6 +24,8 @@
     /// Held for the advice query of another job.
     bool is_held = false;
     bool is_quarantined = false;
+    /// See policy::speed_rank.
+    int speed_rank = 0;
     /// A latency-sensitive task would stop runs that use idle CPU time there.
     bool runs_idle_cpu_work = false;
 };
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -125,6 +125,7 @@
     configure(state);
     check_leadership();
     load_members();
+    load_speeds();
     tables_to_load_ = 3;
     load_table(job_table);
     load_table(progress_table);
@@ -216,6 +217,8 @@
     for (auto& it :
          planner_.next_commit(max_rows_per_commit, max_bytes_per_commit))
         add_change(changes, std::move(it));
+    if (!changes.changes_nothing())
+        add_speeds(changes);
     const bool renewal_due =
         releasing_ || !unconfirmed_.empty() ||
         env_.clock.now() - log_->confirmed() >= renewal_interval;
--- a/src/mustardwick/entry/cell_leader_load.cpp
+++ b/src/mustardwick/entry/cell_leader_load.cpp
@@ -23,6 +23,9 @@
 constexpr milliseconds registry_interval{350};
 constexpr milliseconds read_timeout{1000};
 constexpr int page_rows = 500;
+/// Interval at which the learned speeds are stored, with a transaction that
+/// changes jobs; a row of 350 workers has 15 KB.
+constexpr milliseconds speeds_interval{8000};
 
 } // namespace
 
@@ -46,6 +49,33 @@
         });
 }
 
+void cell_leader::load_speeds()
+{
+    env_.store.read(
+        cell_table, plan_partition, speeds_key, 1, read_timeout,
+        [self = shared_from_this()](const durable::store_reply& reply)
+        {
+            // Without the row the speeds are learned anew within seconds.
+            if (self->stopped_ || !reply.ok())
+                return;
+            for (const auto& it : reply.rows)
+                if (it.address.key == speeds_key)
+                    self->planner_.restore_speeds(it.value);
+        });
+}
+
+void cell_leader::add_speeds(durable::transaction& changes)
+{
+    const auto now = env_.clock.now();
+    if (now < next_speeds_)
+        return;
+    const bool is_first = next_speeds_ == base::steady_time();
+    next_speeds_ = now + speeds_interval;
+    if (!is_first)
+        changes.writes.push_back({{cell_table, plan_partition, speeds_key},
+                                  planner_.encode_speeds()});
+}
+
 void cell_leader::load_table(const std::string& table)
 {
     using scan = table_scan<platform::store_client>;
