Spend scarce room on work that can still be in time

Callers saw: in a burst 75 of 816 short urgent jobs were in time and 279 late, although the cell had room for half of them; a backlog that can earn nothing any more made placement rounds of 25 ms, and the leader of a full cell lost its leadership. On unlike workers, short urgent work went to slow workers that seemed just fast enough.

Cause: the time to the start (advice, commit, order) did not count, so that work with the least time left started just too late; each job started some of its tasks; late work took single slots; estimates were taken as they are.

Change: the start delay and the learned error of a queue's estimates count. A step that has no time for a second wave starts whole, and keeps its slots within a round. Late work waits while more than 0.9 of the processors are in use and work in time waits. Jobs past their late deadline are looked at twice a second. A worker is preferred only at twice the needed speed.

--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -73,6 +73,10 @@
     const policy::resources* maximum = nullptr;
     account_usage* usage = nullptr;
     std::int64_t objective_ms = 0;
+    /// Learned ratio of run times to estimates of the queue.
+    double estimate_factor = 1.0;
+    /// Expected duration of an advice query; 0 when the queue needs none.
+    std::int64_t advice_ms = 0;
 };
 
 /// @brief A job, its durable record, and the effects that wait for the record's
@@ -111,6 +115,9 @@
     /// steps; negative while not computed.
     std::int64_t remaining_chain_ms = -1;
     bool removed = false;
+    /// The job can earn nothing any more; while other work waits for its
+    /// service, its steps are not looked at before this time.
+    base::steady_time parked_until;
     /// It was logged that the next occurrence is due but not opened.
     bool is_behind = false;
     /// Effects that are released once the record is durable.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -73,6 +74,8 @@
     std::size_t without_capacity = 0;
     /// Steps deferred in favour of waiting steps of a higher value class.
     std::size_t deferred = 0;
+    /// Jobs that can earn nothing any more and were not looked at.
+    std::size_t parked_jobs = 0;
     /// Hosts examined for all steps together.
     std::size_t hosts_examined = 0;
     std::chrono::microseconds duration{0};
@@ -190,6 +193,13 @@
         return speeds_.speed(host.index);
     }
 
+    /// @brief Returns how much the learned speeds differ; see
+    /// policy::worker_speeds.
+    double speed_deviation() const
+    {
+        return speeds_.deviation();
+    }
+
     /// @brief Runs a placement round if one is due and returns the orders and
     /// queries to send.
     ///
@@ -280,6 +290,10 @@
     /// @brief Reserves capacity for a gang step on hosts that are known to be
     /// allowed, until all its tasks fit.
     void reserve_capacity(const ready_step& step);
+    /// @brief Keeps the free slots of a step that waits for the last one from
+    /// less urgent steps in this round.
+    void keep_free_slots(const ready_step& step,
+                         std::span<const candidate> allowed, int tasks);
     /// @brief Returns whether a run may be stopped for a step: it is less
     /// urgent and can be resumed later at little cost.
     bool may_preempt(const ready_step& step, const running& it);
@@ -351,11 +365,21 @@
     bool place_step(const ready_step& step);
     /// @brief Returns whether most processors of a service's hosts are in use.
     bool is_busy(std::string_view service) const;
+    /// @brief Returns whether nearly all usable processors are in use.
+    bool is_full(std::string_view service) const;
     processors processors_of(std::string_view service) const;
     const job_context& context_of(job_run& job);
     int tasks_within_maximum(job_run& job, const policy::resources& size);
     static std::int64_t objective_of(const job_run& job,
-                                     const jobs::queue& queue);
+                                     const jobs::queue& queue,
+                                     double estimate_factor);
+    /// @brief Returns the expected time until a step can start.
+    std::int64_t start_delay_of(const job_run& job, const step_run& step) const;
+    /// @brief Returns whether a step is in time only if all its tasks start
+    /// together.
+    bool must_start_whole(const ready_step& step) const;
+    /// @brief Returns whether a job's steps are left out of this round.
+    bool is_parked(const job_run& job) const;
     policy::waiting_step urgency_inputs(job_run& job) const;
     void assign(const ready_step& step, int index, int run,
                 const candidate& where);
--- a/include/mustardwick/policy/urgency.hpp
+++ b/include/mustardwick/policy/urgency.hpp
@@ -22,6 +22,14 @@
     /// The tasks run until the job is cancelled: there is no completion that
     /// could be late, and each moment without them loses value.
     bool long_running = false;
+    /// Expected time from now to the start: advice, the commit and the order.
+    std::int64_t start_delay_ms = 0;
+
+    /// @brief Returns the expected time until the job can have ended.
+    std::int64_t time_needed_ms() const
+    {
+        return remaining_chain_ms + start_delay_ms;
+    }
 };
 
 /// @brief The value that a step can still earn when it finishes as early as
@@ -40,18 +48,31 @@
 /// Load pattern: a burst that leaves more work than fits. Work that can still
 /// meet its objective goes before work that cannot, and work over an account's
 /// share waits for the guaranteed shares of the others. Long-running work never
-/// becomes worthless, however long ago its job arrived.
+/// becomes worthless, however long ago its job arrived. The time to the start
+/// counts: otherwise the work with the least time left, which comes first,
+/// starts just too late, and so does all work behind it.
 inline value_class value_class_of(const waiting_step& it)
 {
     if (it.long_running)
         return it.over_share ? value_class::late : value_class::in_time;
-    if (it.remaining_chain_ms > it.time_to_late_deadline_ms)
+    if (it.time_needed_ms() > it.time_to_late_deadline_ms)
         return value_class::past_late_deadline;
     if (it.over_share)
         return value_class::over_share;
-    return it.remaining_chain_ms <= it.time_to_objective_ms
-               ? value_class::in_time
-               : value_class::late;
+    return it.time_needed_ms() <= it.time_to_objective_ms ? value_class::in_time
+                                                          : value_class::late;
+}
+
+/// @brief Returns whether tasks of a step that start only when its first ones
+/// have ended are too late for the objective.
+///
+/// Load pattern: a burst of short urgent jobs of a few tasks each. When each
+/// one starts some of its tasks, hardly any has all of them done in time.
+/// @param run_ms expected run time of one task
+inline bool has_no_second_wave(const waiting_step& it, std::int64_t run_ms)
+{
+    return !it.long_running &&
+           it.time_to_objective_ms - it.time_needed_ms() < run_ms;
 }
 
 /// @brief Returns whether a step starts only when no other step waits for free
@@ -69,7 +90,7 @@
 urgency_of(const waiting_step& it)
 {
     return {value_class_of(it), it.priority,
-            it.time_to_objective_ms - it.remaining_chain_ms};
+            it.time_to_objective_ms - it.time_needed_ms()};
 }
 
 } // namespace mustardwick::policy
--- a/include/mustardwick/policy/worker_speed.hpp
+++ b/include/mustardwick/policy/worker_speed.hpp
@@ -107,6 +107,16 @@
             std::max(0.0, square_sum_ / double(known_) - average * average));
     }
 
+    /// @brief Returns the factor by which runs of a queue take longer than
+    /// estimated on an average worker; 1.0 while little is known.
+    double estimate_factor(std::string_view queue) const
+    {
+        const auto it = queues_.find(queue);
+        if (it == queues_.end() || it->second.samples < min_queue_samples)
+            return 1.0;
+        return std::clamp(std::exp(it->second.log_speed), min_speed, max_speed);
+    }
+
     speed_estimate estimate(std::size_t worker) const
     {
         return worker < workers_.size() ? workers_[worker] : speed_estimate{};
@@ -140,6 +150,9 @@
     static constexpr int deviations_of_a_change = 3;
     static constexpr double gain_after_a_change = 0.35;
     static constexpr int min_samples = 3;
+    static constexpr int min_queue_samples = 30;
+    /// The first runs of a worker say little about how unlike the workers are.
+    static constexpr int min_samples_to_compare = 8;
     /// Estimates of alike workers deviate by about 0.15.
     static constexpr double min_deviation = 0.25;
     static constexpr double min_speed = 0.25;
@@ -166,10 +179,16 @@
     /// told from the errors of the estimates.
     void count(const speed_estimate& before, const speed_estimate& after)
     {
-        log_sum_ += after.log_speed - before.log_speed;
-        square_sum_ += after.log_speed * after.log_speed -
-                       before.log_speed * before.log_speed;
-        known_ += (after.samples > 0 ? 1 : 0) - (before.samples > 0 ? 1 : 0);
+        const auto add = [this](const speed_estimate& it, double sign)
+        {
+            if (it.samples < min_samples_to_compare)
+                return;
+            log_sum_ += sign * it.log_speed;
+            square_sum_ += sign * it.log_speed * it.log_speed;
+            known_ += sign > 0 ? 1 : -1;
+        };
+        add(before, -1);
+        add(after, 1);
     }
 
     std::vector<speed_estimate> workers_;
@@ -184,9 +203,9 @@
 /// estimate, over the time that is left.
 inline double needed_speed(double remaining_ms, double time_left_ms)
 {
-    /// Tasks of one step differ by about half of their mean run time, and the
-    /// longest one counts.
-    constexpr double margin = 1.4;
+    /// The longest of a step's tasks, which counts, takes up to twice the mean,
+    /// and a worker that seems just fast enough may be slower.
+    constexpr double margin = 2.0;
     if (remaining_ms <= 0 || time_left_ms <= 0)
         return 0;
     return margin * remaining_ms / time_left_ms;
--- a/src/mustardwick/dispatch/load_replay_test.cpp
+++ b/src/mustardwick/dispatch/load_replay_test.cpp
@@ -153,3 +153,36 @@
     for (const auto& it : out)
         cr_expect_geq(it.share(), 0.9, "%d of %d", it.in_time, it.submitted);
 }
+
+struct overload_case
+{
+    const char* name;
+    /// Urgent jobs a second; 88 fill the cell.
+    double urgent_per_s;
+    /// Minimum share of those that the cell has room for that are in time.
+    double min_share_of_room;
+};
+
+// Guards against work that starts in the order of least time left and always
+// just too late: in a burst, 75 of 816 urgent jobs were in time and 279 late,
+// although the cell had room for half of them.
+Test(load_replay, serves_what_fits_in_time_during_an_overload)
+{
+    const std::array cases = {
+        overload_case{"full", 80, 0.8},
+        overload_case{"twice the room", 176, 0.7},
+        overload_case{"four times the room", 352, 0.6},
+    };
+    for (const auto& it : cases)
+    {
+        auto urgent = urgent_jobs(it.urgent_per_s);
+        urgent.tasks = 3;
+        urgent.millicpus = 5000;
+        urgent.run_ms = 800;
+        load_replay replay(36, 36, {urgent}, 7);
+        const auto out = replay.simulate().front();
+        const double room = std::min(1.0, 88 / it.urgent_per_s);
+        cr_expect_geq(out.share(), it.min_share_of_room * room, "%s: %d of %d",
+                      it.name, out.in_time, out.submitted);
+    }
+}
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -25,6 +25,17 @@
 /// share of a service's processors is in use; below half, every task that fits
 /// has to start.
 constexpr double busy_share = 0.6;
+/// Above this share of a service's usable processors, free capacity is what
+/// tasks leave that have just ended. Below it, there is also room that the
+/// waiting steps cannot use: in small parts, or on hosts denied to them.
+constexpr double full_share = 0.9;
+/// Time to store an assignment and to send its order.
+constexpr std::int64_t order_delay_ms = 60;
+/// Number of hosts that an advice query usually names.
+constexpr int hosts_in_query = 15;
+/// Interval at which jobs that can earn nothing any more are looked at while
+/// other work waits; a backlog of thousands would take most of a round.
+constexpr milliseconds parked_interval{500};
 /// Number of hosts that a job's objective assumes for the advice query of a
 /// step.
 constexpr int hosts_in_objective = 30;
@@ -66,7 +77,8 @@
 
 } // namespace
 
-std::int64_t planner::objective_of(const job_run& job, const jobs::queue& queue)
+std::int64_t planner::objective_of(const job_run& job, const jobs::queue& queue,
+                                   double estimate_factor)
 {
     const auto advice =
         queue.advice
@@ -78,7 +90,13 @@
                                      {
                                          return true;
                                      });
-    return std::int64_t(queue.stretch * double(whole)) +
+    const double run_ms = double(longest_chain(job.specification.steps, 0,
+                                               [](std::size_t)
+                                               {
+                                                   return true;
+                                               }));
+    return std::int64_t(queue.stretch *
+                        (double(whole) + (estimate_factor - 1.0) * run_ms)) +
            queue.target_latency_ms;
 }
 
@@ -94,7 +112,11 @@
     {
         out.queue = &queue->terms;
         out.is_unrouted = !queue->is_configured;
-        out.objective_ms = objective_of(job, queue->terms);
+        out.estimate_factor = speeds_.estimate_factor(job.specification.queue);
+        out.objective_ms = objective_of(job, queue->terms, out.estimate_factor);
+        if (const auto& advice = queue->terms.advice)
+            out.advice_ms = std::int64_t(advice->base_ms +
+                                         advice->per_host_ms * hosts_in_query);
     }
     const auto account =
         configuration_.accounts.find(job.specification.account);
@@ -117,7 +139,8 @@
     }
     policy::waiting_step out;
     out.priority = job.context.queue->priority;
-    out.remaining_chain_ms = job.remaining_chain_ms;
+    out.remaining_chain_ms = std::int64_t(double(job.remaining_chain_ms) *
+                                          job.context.estimate_factor);
     const auto objective = job.context.objective_ms;
     const auto age =
         std::chrono::duration_cast<milliseconds>(clock_.now() - job.arrived)
@@ -128,6 +151,19 @@
     return out;
 }
 
+std::int64_t planner::start_delay_of(const job_run& job,
+                                     const step_run& step) const
+{
+    const bool has_tickets = step.tickets_until > clock_.now() + ticket_reserve;
+    return order_delay_ms + (has_tickets ? 0 : job.context.advice_ms);
+}
+
+bool planner::is_parked(const job_run& job) const
+{
+    return job.parked_until > clock_.now() &&
+           is_busy(job.context.queue->service);
+}
+
 std::vector<planner::ready_step> planner::collect_ready_steps()
 {
     std::vector<ready_step> out;
@@ -141,6 +177,14 @@
         // No start of a suspended job can become durable.
         if (queue == nullptr || job.rejected_until)
             continue;
+        if (is_parked(job))
+        {
+            ++round_.parked_jobs;
+            continue;
+        }
+        // Occurrences that are still to come can earn.
+        bool can_earn = job.specification.occurrences > 0;
+        bool is_waiting = false;
         open_due_occurrences(job);
         if (job.record.open.empty())
             continue;
@@ -167,6 +211,10 @@
                 // Steps of an account at its maximum are left out: they can
                 // neither start nor use advice, however large the backlog is.
                 inputs.long_running = spec.long_running;
+                inputs.start_delay_ms = start_delay_of(job, job.steps[at][it]);
+                is_waiting = true;
+                can_earn |= policy::value_class_of(inputs) !=
+                            policy::value_class::past_late_deadline;
                 if (tasks_within_maximum(job, spec.size) == 0)
                     ++round_.at_maximum;
                 else
@@ -174,6 +222,8 @@
                                    policy::urgency_of(inputs)});
             }
         }
+        if (is_waiting && !can_earn)
+            job.parked_until = now + parked_interval;
     }
     std::stable_sort(out.begin(), out.end(),
                      [](const auto& left, const auto& right)
@@ -220,19 +270,30 @@
     round_.active_jobs = active_.size();
     round_.ready_steps = steps.size();
     std::set<std::string_view> short_services;
+    std::set<std::string_view> full_services;
     for (const auto& it : steps)
     {
         // Small tasks of deferrable work would fill every gap and use up the
         // advice channels that wide steps wait for.
         const std::string_view service = it.queue->service;
-        if (short_services.contains(service) &&
-            policy::is_deferrable(it.value_class()))
+        const bool is_late = it.value_class() == policy::value_class::late;
+        const bool is_deferred = (policy::is_deferrable(it.value_class()) &&
+                                  short_services.contains(service)) ||
+                                 (is_late && full_services.contains(service));
+        if (is_deferred)
         {
             ++round_.deferred;
             continue;
         }
-        if (!place_step(it) && is_busy(service))
+        if (place_step(it))
+            continue;
+        if (is_busy(service))
             short_services.insert(service);
+        // Late work would take the last slots, one by one, from small steps
+        // that can still be in time.
+        if (is_full(service) && !it.spec().is_gang &&
+            it.value_class() == policy::value_class::in_time)
+            full_services.insert(service);
     }
     const auto took = clock_.now() - started;
     round_.duration =
@@ -253,6 +314,12 @@
     return double(it.used) > double(it.listed) * busy_share;
 }
 
+bool planner::is_full(std::string_view service) const
+{
+    const auto it = processors_of(service);
+    return double(it.used) > double(it.usable) * full_share;
+}
+
 int planner::tasks_within_maximum(job_run& job, const policy::resources& size)
 {
     const auto& context = context_of(job);
@@ -273,6 +340,18 @@
     return int(n);
 }
 
+bool planner::must_start_whole(const ready_step& step) const
+{
+    if (step.value_class() != policy::value_class::in_time ||
+        !is_busy(step.queue->service))
+        return false;
+    auto inputs = urgency_inputs(*step.job);
+    inputs.start_delay_ms = start_delay_of(*step.job, step.state());
+    return policy::has_no_second_wave(
+        inputs, std::int64_t(double(estimate_of(step.spec())) *
+                             step.job->context.estimate_factor));
+}
+
 bool planner::place_step(const ready_step& step)
 {
     const auto& spec = step.spec();
@@ -299,7 +378,12 @@
         query_advice(step, std::move(unknown), missing);
     if (free_slots < affordable)
         ++round_.without_capacity;
-    if (free_slots == 0 || (spec.is_gang && free_slots < affordable))
+    const bool is_whole =
+        !spec.is_gang && free_slots < affordable && must_start_whole(step);
+    if (is_whole)
+        keep_free_slots(step, allowed, affordable);
+    if (free_slots == 0 || is_whole ||
+        (spec.is_gang && free_slots < affordable))
     {
         if (!has_hosts_to_query)
             step.state().blocked_since =
--- a/src/mustardwick/dispatch/planner_preemption.cpp
+++ b/src/mustardwick/dispatch/planner_preemption.cpp
@@ -133,6 +133,20 @@
         reserve(*it.host, it.soon - it.now);
 }
 
+void planner::keep_free_slots(const ready_step& step,
+                              std::span<const candidate> allowed, int tasks)
+{
+    const auto size = charged_size(step.spec());
+    const auto usable_millicpus = processors_of(step.queue->service).usable;
+    if (double(round_planned_millicpus_) >=
+        double(usable_millicpus) * reserved_share)
+        return;
+    round_planned_millicpus_ += size.millicpus * tasks;
+    for (const auto& it : allowed)
+        for (int n = 0; n < it.slots && tasks > 0; ++n, --tasks)
+            it.host->reserved += size;
+}
+
 bool planner::may_preempt(const ready_step& step, const running& it)
 {
     // Only the first run of a task may be stopped, so that the task eventually
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -380,6 +380,8 @@
          {"free_channels", advice_->capacity().free},
          {"without_capacity", round.without_capacity},
          {"deferred", round.deferred},
+         {"parked_jobs", round.parked_jobs},
+         {"speed_deviation_percent", percent_of(planner_.speed_deviation())},
          {"listed_hosts", round.listed_hosts},
          {"usable_hosts", round.usable_hosts},
          {"unreachable_hosts", round.unreachable_hosts},
