Refuse an account's surplus that could not start, and keep work apart that interferes

Cause: every job was accepted, and the surplus of an account waits behind everybody's shares.

Interference. policy/interference learns which kinds of work slow each other down, with the worker's speed and the error of estimates taken out; candidates with such neighbours come after others. Setting keep_apart.

Tests: policy (43), dispatch (72) and entry (25) pass.

--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -3,13 +3,16 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
 
 #include "mustardwick/base/clock.hpp"
 #include "mustardwick/jobs/worker.hpp"
+#include "mustardwick/policy/interference.hpp"
 #include "mustardwick/policy/share_bucket.hpp"
+#include "mustardwick/policy/surplus_admission.hpp"
 
 namespace mustardwick::dispatch
 {
@@ -46,6 +49,9 @@
     /// Tail latency in the last report, in milliseconds, if the task serves
     /// users.
     std::int64_t tail_ms = 0;
+    /// See planner::kind_id_of.
+    policy::interference::kind_id kind = policy::interference::unknown_kind;
+    base::steady_time next_tail_sample;
     /// Uses only CPU time that other tasks leave idle.
     bool uses_idle_cpu = false;
     /// Runs until its job is cancelled.
@@ -139,6 +145,9 @@
 {
     policy::resources used;
     policy::share_bucket share;
+    /// Jobs beyond the share that have not started, in the last round.
+    std::size_t waiting_surplus = 0;
+    std::optional<policy::surplus_admission> surplus;
 };
 
 } // namespace mustardwick::dispatch
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -44,6 +44,9 @@
     std::chrono::milliseconds stop_grace{900};
     /// How long before its due time an occurrence may start.
     std::chrono::milliseconds early_start{200};
+    /// Learns which kinds of work slow each other down, and keeps them apart
+    /// where there is room.
+    bool keeps_apart = false;
     /// Maximum size of the value of a stored row.
     std::size_t max_row_bytes = 48'000;
 };
@@ -76,6 +79,10 @@
     std::size_t deferred = 0;
     /// Jobs that can earn nothing any more and were not looked at.
     std::size_t parked_jobs = 0;
+    /// Jobs beyond their account's share that have not started.
+    std::size_t surplus_jobs = 0;
+    /// Candidates that came later because of interfering work.
+    std::size_t disturbed_hosts = 0;
     /// Hosts examined for all steps together.
     std::size_t hosts_examined = 0;
     std::chrono::microseconds duration{0};
@@ -142,6 +149,11 @@
     /// job.
     void submit(
         jobs::job specification, accepted done, refused on_refused = [] {});
+    /// @brief Returns std::nullopt if a new job is accepted, otherwise the time
+    /// after which its caller should return: the job is beyond its account's
+    /// share, and could not start in time.
+    std::optional<std::chrono::milliseconds>
+    refuse_surplus(const jobs::job& specification);
     /// @brief Drops the jobs that were not part of any transaction yet and
     /// calls the `refused` callbacks of their callers. Returns the number of
     /// jobs.
@@ -200,6 +212,13 @@
         return speeds_.deviation();
     }
 
+    /// @brief Returns the number of pairs of kinds of work that slow each other
+    /// down.
+    std::size_t interfering_pairs() const
+    {
+        return interference_.believed();
+    }
+
     /// @brief Runs a placement round if one is due and returns the orders and
     /// queries to send.
     ///
@@ -350,6 +369,21 @@
     std::int64_t estimated_clock(const host_state& host) const;
     void update_clock(host_state& host, std::int64_t clock_ms);
 
+    // planner_interference.cpp
+    /// @brief Returns the number of the kind of work that a step's tasks are.
+    policy::interference::kind_id kind_id_of(const jobs::job& job, int step);
+    /// @brief Returns the distinct kinds that run beside a run.
+    static std::vector<policy::interference::kind_id>
+    neighbours_of(const host_state& host, const running& of);
+    void record_slowdown(const host_state& host, const running& it,
+                         double log_slowdown);
+    /// @brief Learns from the tail latency of a run that serves users.
+    void sample_tail(const host_state& host, running& it);
+    /// @brief Returns whether a kind and one that runs on a host slow each
+    /// other down.
+    bool is_disturbed(const host_state& host,
+                      policy::interference::kind_id kind) const;
+
     // planner_speed.cpp
     /// @brief Learns the speed of a host from a run that has succeeded.
     void record_run_time(const host_state& host, const running& it);
@@ -456,6 +490,7 @@
     std::vector<host_state*> host_at_;
     policy::failure_attribution<std::size_t, jobs::task_key> failures_;
     policy::worker_speeds speeds_;
+    policy::interference interference_;
     /// Speeds that a former leader learned of workers that are not listed yet.
     std::map<std::string, worker_speed_row, std::less<>> saved_speeds_;
     std::map<std::string, account_usage, std::less<>> accounts_;
--- a/include/mustardwick/entry/messages.hpp
+++ b/include/mustardwick/entry/messages.hpp
@@ -123,7 +123,10 @@
     not_leader,
     /// The store is unavailable to the leader; the job was not accepted and
     /// never runs.
-    store_unavailable
+    store_unavailable,
+    /// The job is beyond its account's share and could not start in time; it
+    /// was not accepted and never runs.
+    over_share
 };
 
 struct job_query
--- a/include/mustardwick/entry/settings.hpp
+++ b/include/mustardwick/entry/settings.hpp
@@ -66,6 +66,8 @@
     policy::host_resources resources;
     cell_limits limits;
     connection_limits connections;
+    /// Keeps work apart that slows each other down on one worker.
+    bool keeps_apart = false;
     base::log_level log_level = base::log_level::info;
 };
 
--- a/include/mustardwick/policy/share_bucket.hpp
+++ b/include/mustardwick/policy/share_bucket.hpp
@@ -23,14 +23,7 @@
     /// @param weight guaranteed rate in jobs per second
     bool take(time_point now, double weight)
     {
-        const double max_tokens = std::max(1.0, weight * burst_seconds);
-        if (last_)
-        {
-            const std::chrono::duration<double> passed = now - *last_;
-            tokens_ = std::min(max_tokens, tokens_ + passed.count() * weight);
-        }
-        else
-            tokens_ = max_tokens;
+        tokens_ = tokens_at(now, weight);
         last_ = now;
         if (tokens_ < 1.0)
             return false;
@@ -38,12 +31,27 @@
         return true;
     }
 
+    /// @brief Returns whether a job that arrives now is beyond the share.
+    bool is_exhausted(time_point now, double weight) const
+    {
+        return tokens_at(now, weight) < 1.0;
+    }
+
 private:
     /// Jobs that may arrive at once, in seconds of the guaranteed rate. The
     /// share is defined in jobs per second, so the jobs of one second are
     /// within it.
     static constexpr double burst_seconds = 1.0;
 
+    double tokens_at(time_point now, double weight) const
+    {
+        const double max_tokens = std::max(1.0, weight * burst_seconds);
+        if (!last_)
+            return max_tokens;
+        const std::chrono::duration<double> passed = now - *last_;
+        return std::min(max_tokens, tokens_ + passed.count() * weight);
+    }
+
     double tokens_ = 0;
     std::optional<time_point> last_;
 };
--- a/include/mustardwick/policy/worker_speed.hpp
+++ b/include/mustardwick/policy/worker_speed.hpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,12 +40,15 @@
 class worker_speeds
 {
 public:
-    /// @brief Records a run from its start to its success.
-    void record(std::size_t worker, std::string_view queue,
-                estimate_baseline& step, double estimate_ms, double took_ms)
+    /// @brief Records a run from its start to its success. Returns the
+    /// logarithm of its run time relative to others of its kind on a worker of
+    /// this speed; std::nullopt while these are not known.
+    std::optional<double> record(std::size_t worker, std::string_view queue,
+                                 estimate_baseline& step, double estimate_ms,
+                                 double took_ms)
     {
         if (estimate_ms <= 0 || took_ms <= 0)
-            return;
+            return std::nullopt;
         if (worker >= workers_.size())
             workers_.resize(worker + 1);
         auto& it = workers_[worker];
@@ -58,6 +62,9 @@
                                 (queue_weight + step.samples);
         // A shorter run than that of others of its kind shows a faster worker.
         const bool has_baseline = step.samples + error.samples > 0;
+        const bool is_known =
+            it.samples >= min_samples && error.samples >= min_queue_samples;
+        const double slowdown = ratio + it.log_speed - expected;
         if (has_baseline)
         {
             const auto before = it;
@@ -68,6 +75,7 @@
         step.sum += at_average_speed;
         ++step.samples;
         update(error, at_average_speed, min_queue_gain);
+        return is_known ? std::optional(slowdown) : std::nullopt;
     }
 
     /// @brief Forgets a worker that restarted: it may be of another kind.
--- a/src/mustardwick/dispatch/planner_advice.cpp
+++ b/src/mustardwick/dispatch/planner_advice.cpp
@@ -140,6 +140,8 @@
                              return right.runs_idle_cpu_work;
                          if (left.speed_rank != right.speed_rank)
                              return left.speed_rank < right.speed_rank;
+                         if (left.is_disturbed != right.is_disturbed)
+                             return right.is_disturbed;
                          // Small tasks fill up used hosts, so that large gaps
                          // remain for large tasks.
                          if (is_small)
--- a/src/mustardwick/dispatch/planner_hosts.cpp
+++ b/src/mustardwick/dispatch/planner_hosts.cpp
@@ -159,6 +159,7 @@
     const auto with_tickets =
         tickets_only ? allowed_hosts(step) : std::vector<host_state*>();
     const double needed_speed = needed_speed_of(step);
+    const auto kind = kind_id_of(step.job->specification, step.step);
     const auto examine = [&](host_state* host)
     {
         if (state.access.is_denied(host->index))
@@ -171,6 +172,8 @@
         it.host = host;
         it.speed_rank =
             policy::speed_rank(speeds_.speed(host->index), needed_speed);
+        it.is_disturbed = is_disturbed(*host, kind);
+        round_.disturbed_hosts += it.is_disturbed ? 1 : 0;
         it.is_quarantined = !is_usable(*host, step.queue->service);
         it.is_held = host->held_until > now &&
                      host->held_for != step.job->specification.id;
@@ -213,6 +216,8 @@
                 return right.runs_idle_cpu_work;
             if (left.speed_rank != right.speed_rank)
                 return left.speed_rank < right.speed_rank;
+            if (left.is_disturbed != right.is_disturbed)
+                return right.is_disturbed;
             return left.host->free().millicpus < right.host->free().millicpus;
         });
     return allowed;
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -168,6 +168,8 @@
 {
     std::vector<ready_step> out;
     const auto now = clock_.now();
+    for (auto& [name, usage] : accounts_)
+        usage.waiting_surplus = 0;
     for (const auto& [number, active] : active_)
     {
         auto& job = *active;
@@ -177,6 +179,12 @@
         // No start of a suspended job can become durable.
         if (queue == nullptr || job.rejected_until)
             continue;
+        if (job.specification.over_share &&
+            job.record.state == jobs::job_state::queued)
+        {
+            ++job.context.usage->waiting_surplus;
+            ++round_.surplus_jobs;
+        }
         if (is_parked(job))
         {
             ++round_.parked_jobs;
@@ -449,6 +457,9 @@
     if (job.record.state == jobs::job_state::queued)
     {
         job.record.state = jobs::job_state::running;
+        auto& usage = *context_of(job).usage;
+        if (job.specification.over_share && usage.surplus)
+            usage.surplus->started();
         const auto waited =
             std::chrono::duration<double>(clock_.now() - job.arrived);
         metrics_.observe("mustardwick_job_wait_seconds", waited.count());
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -117,6 +117,7 @@
     run.confirmed = true;
     run.listed_in = host.report;
     run.tail_ms = run.is_latency_sensitive() ? listed.load : 0;
+    sample_tail(host, run);
     if (!listed.checkpoint.empty())
         run.checkpoint = listed.checkpoint;
     const bool ran_well = run.phase == run_phase::started && run.long_running &&
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -95,6 +95,7 @@
     it.target_ms = step.target_ms;
     it.uses_idle_cpu = step.uses_idle_cpu;
     it.long_running = step.long_running;
+    it.kind = kind_id_of(job.specification, task.step);
     it.phase = phase;
     if (!host.runs.emplace(run_key{task, run}, it).second)
         return;
--- a/src/mustardwick/dispatch/planner_speed.cpp
+++ b/src/mustardwick/dispatch/planner_speed.cpp
@@ -20,10 +20,14 @@
     if (it.phase != run_phase::started || it.started_clock_ms == 0 ||
         it.run != 1 || spec.is_gang || spec.long_running || !is_near_data)
         return;
-    if (auto* step = find_step(it.task))
-        speeds_.record(host.index, job->specification.queue, step->run_times,
-                       double(spec.estimate_ms),
-                       double(host.clock_ms - it.started_clock_ms));
+    auto* step = find_step(it.task);
+    if (step == nullptr)
+        return;
+    const auto slowdown = speeds_.record(
+        host.index, job->specification.queue, step->run_times,
+        double(spec.estimate_ms), double(host.clock_ms - it.started_clock_ms));
+    if (slowdown)
+        record_slowdown(host, it, *slowdown);
 }
 
 double planner::needed_speed_of(const ready_step& step) const
--- a/src/mustardwick/dispatch/ready_step.hpp
+++ b/src/mustardwick/dispatch/ready_step.hpp
@@ -24,6 +24,8 @@
     /// Held for the advice query of another job.
     bool is_held = false;
     bool is_quarantined = false;
+    /// Work that runs there interferes with that of the step.
+    bool is_disturbed = false;
     /// See policy::speed_rank.
     int speed_rank = 0;
     /// A latency-sensitive task would stop runs that use idle CPU time there.
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -60,6 +60,7 @@
     out.max_lease = options.limits.max_lease;
     out.retention = options.limits.retention;
     out.stop_grace = options.limits.stop_grace;
+    out.keeps_apart = options.keeps_apart;
     // A timer may fire late but never early; half the tolerance is left for
     // clock differences between hosts.
     out.early_start = options.limits.early_start / 2;
@@ -381,6 +382,9 @@
          {"without_capacity", round.without_capacity},
          {"deferred", round.deferred},
          {"parked_jobs", round.parked_jobs},
+         {"surplus_jobs", round.surplus_jobs},
+         {"interfering_pairs", planner_.interfering_pairs()},
+         {"disturbed_hosts", round.disturbed_hosts},
          {"speed_deviation_percent", percent_of(planner_.speed_deviation())},
          {"listed_hosts", round.listed_hosts},
          {"usable_hosts", round.usable_hosts},
--- a/src/mustardwick/entry/cell_leader_calls.cpp
+++ b/src/mustardwick/entry/cell_leader_calls.cpp
@@ -52,6 +52,14 @@
     if (!job)
         return false;
     const auto tracked = calls_.track(respond);
+    if (!planner_.state_of(job->id))
+        if (const auto retry_after = planner_.refuse_surplus(*job))
+        {
+            job_reply out{reply_status::over_share};
+            out.retry_after_ms = retry_after->count();
+            tracked(answer(out));
+            return true;
+        }
     // The planner keeps the handler and is part of this object.
     const auto refuse = [this, tracked]
     {
--- a/src/mustardwick/entry/gateway.cpp
+++ b/src/mustardwick/entry/gateway.cpp
@@ -26,6 +26,7 @@
 constexpr int not_found = 404;
 constexpr int gone = 410;
 constexpr int content_too_large = 413;
+constexpr int too_many_requests = 429;
 constexpr int unavailable = 503;
 constexpr int gateway_timeout = 504;
 
@@ -53,9 +54,19 @@
     return json_response(status, body.serialize());
 }
 
-aio::outgoing_response retry_later(milliseconds after)
+aio::outgoing_response retry_later(milliseconds after, int status = unavailable)
 {
-    return {unavailable, "{}", "application/json", after};
+    return {status, "{}", "application/json", after};
+}
+
+/// Returns why the leader did not accept a job; empty when it did.
+std::string_view refusal_reason(reply_status status)
+{
+    if (status == reply_status::store_unavailable)
+        return "the store is unavailable";
+    if (status == reply_status::over_share)
+        return "the account exceeds its share of a busy cell";
+    return {};
 }
 
 bool is_job_id(std::string_view text)
@@ -189,14 +200,20 @@
     call_(message_type::submit_job, specification, context.deadline,
           [context](leader_result result)
           {
-              if (result.reply &&
-                  result.reply->status == reply_status::store_unavailable)
+              const auto refused = result.reply
+                                       ? refusal_reason(result.reply->status)
+                                       : std::string_view();
+              if (!refused.empty())
               {
                   log_event(log_level::warning, "gateway", "job_refused",
                             {{"job", context.id},
-                             {"reason", "the store is unavailable"}});
-                  return context.respond(
-                      retry_later(milliseconds(result.reply->retry_after_ms)));
+                             {"account", context.account},
+                             {"reason", refused}});
+                  const bool over_share =
+                      result.reply->status == reply_status::over_share;
+                  return context.respond(retry_later(
+                      milliseconds(result.reply->retry_after_ms),
+                      over_share ? too_many_requests : unavailable));
               }
               if (result.reply)
               {
--- a/src/mustardwick/entry/settings.cpp
+++ b/src/mustardwick/entry/settings.cpp
@@ -162,6 +162,14 @@
         out.advisor = wire::parse_endpoint(advisor->as_string())
                           .value_or(wire::endpoint{});
     out.resources = read_resources(reader);
+    if (const auto* value = reader.raw("keep_apart"))
+    {
+        if (value->is_boolean())
+            out.keeps_apart = value->as_bool();
+        else
+            reader.report("keep_apart", value->serialize(),
+                          "set true or false");
+    }
     out.connections = default_connection_limits(out.resources);
     if (const auto* connections = reader.raw("connections"))
         out.connections = read_connections(*connections, out.resources, errors);
