Refuse a surplus only in a full cell and within what can be foreseen

Cause: the surplus was refused from 0.6 of the processors in use, while workers that could run it were free, and by a rate of 2 s for jobs with 30 s to start.

Change: only above 0.9 of the processors in use, and only jobs that have to start within 5 s.

--- a/include/mustardwick/policy/surplus_admission.hpp
+++ b/include/mustardwick/policy/surplus_admission.hpp
@@ -15,8 +15,9 @@
 /// busy. Its surplus waits behind everybody's shares; thousands of jobs were
 /// accepted that nothing was left for, and their callers waited in vain.
 ///
-/// Jobs within a share are never refused, and no job is while processors are
-/// idle. Refused callers return in the order in which they were refused.
+/// Jobs within a share are never refused, no job is while processors are idle,
+/// and none that has more time than can be foreseen. Refused callers return in
+/// the order in which they were refused.
 class surplus_admission
 {
 public:
@@ -39,7 +40,7 @@
                                        milliseconds useful)
     {
         update_rate(now);
-        if (rate_ < 0 || waiting < min_backlog)
+        if (rate_ < 0 || waiting < min_backlog || useful > max_forecast)
             return std::nullopt;
         const double wait_s = double(waiting) / std::max(rate_, min_rate);
         if (wait_s * 1000 <= double(useful.count()))
@@ -55,6 +56,8 @@
     /// Fewer waiting jobs are a short burst.
     static constexpr std::size_t min_backlog = 20;
     static constexpr milliseconds rate_window{2000};
+    /// A rate that was measured over 2 s tells little about later seconds.
+    static constexpr milliseconds max_forecast{5000};
     static constexpr double min_rate = 0.1;
     static constexpr milliseconds min_retry_after{1000};
     /// A caller that comes back four times has waited 16 s.
--- a/src/mustardwick/dispatch/planner_admission.cpp
+++ b/src/mustardwick/dispatch/planner_admission.cpp
@@ -28,7 +28,7 @@
         usage.surplus.emplace(now);
     const bool is_surplus =
         usage.share.is_exhausted(now, account->second.weight);
-    if (!is_surplus || !is_busy(queue->terms.service))
+    if (!is_surplus || !is_full(queue->terms.service))
         return std::nullopt;
     job_run candidate;
     candidate.specification = specification;
