--- a/src/mustardwick/aio/framed_stream.hpp
+++ b/src/mustardwick/aio/framed_stream.hpp
@@ -59,11 +59,6 @@
         return is_authenticated_;
     }
 
-    boost::asio::any_io_executor executor()
-    {
-        return socket_.get_executor();
-    }
-
     /// Limit on the first frame of an unknown peer; calls about jobs take up to
     /// 40,000 bytes.
     static constexpr std::size_t max_first_frame_bytes = 64U << 10U;
