--- a/testing/soak/hosted_soak.py
+++ b/testing/soak/hosted_soak.py
@@ -82,6 +82,8 @@
             "advisor": f"{HOST}:{self.advice}",
             "limits": {"max_lease_ms": 6000, "stop_grace_ms": 400}}))
         self.process = None
+        # The listener of its port of the store.
+        self.store_path = None
         # Set from SIGTERM until the process is started again.
         self.stops_as_planned = False
         self.restarting = asyncio.Lock()
@@ -186,7 +188,7 @@
         for it in self.workers:
             await it.listen()
         for it in self.daemons:
-            await self.store.listen(HOST, it.store)
+            it.store_path = await self.store.listen(HOST, it.store)
             await serve_advice(HOST, it.advice)
             await it.start()
 
--- a/testing/soak/http_stub.py
+++ b/testing/soak/http_stub.py
@@ -8,6 +8,10 @@
 import urllib.parse
 
 
+# Bytes written at once on a path with a limited rate.
+PIECE_BYTES = 4096
+
+
 class Withhold(Exception):
     """Closes the connection of a request without sending a response."""
 
@@ -54,6 +58,9 @@
         self.port = port
         self.handle = handle
         self.resets = False
+        # Bytes a second that the path to the clients carries; None: no limit.
+        self.rate = None
+        self.path = asyncio.Lock()
         self.server = None
         self.writers = set()
 
@@ -80,10 +87,10 @@
             while (request := await read_request(reader)) is not None:
                 status, body = await self.handle(request)
                 data = json.dumps(body).encode()
-                writer.write(
+                await self.write(
+                    writer,
                     b"HTTP/1.1 %d -\r\nContent-Type: application/json\r\n"
                     b"Content-Length: %d\r\n\r\n" % (status, len(data)) + data)
-                await writer.drain()
         except (Withhold, ConnectionError, asyncio.IncompleteReadError,
                 asyncio.CancelledError, ValueError):
             # Withheld responses, killed peers and shutdown of the run.
@@ -93,6 +100,18 @@
             writer.close()
         return None
 
+    async def write(self, writer, data):
+        """Writes in pieces at the rate of the path, which all connections of
+        the port share."""
+        while self.rate is not None and data:
+            piece, data = data[:PIECE_BYTES], data[PIECE_BYTES:]
+            async with self.path:
+                await asyncio.sleep(len(piece) / self.rate)
+            writer.write(piece)
+            await writer.drain()
+        writer.write(data)
+        await writer.drain()
+
 
 def reset(writer):
     """Closes a connection with RST."""
--- /dev/null
+++ b/testing/soak/slow_path_test.py
@@ -0,0 +1,104 @@
+#!/usr/bin/env python3
+"""Tests a hosted daemon behind a narrow path to the store."""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+import tempfile
+import time
+
+import http_stub
+from hosted_soak import HOST, ROUTE
+from shutdown_test import Cell
+
+# Bytes a second.
+PATH_RATE = 250_000
+# The configuration is in force this long after it can have arrived.
+MARGIN_S = 1.0
+ADDED_ROUTES = 4000
+
+
+class NarrowCell(Cell):
+    """One daemon whose answers from the store share a path of PATH_RATE."""
+
+    def add_routes(self):
+        """Returns the bytes of the store's answer and the path of a route in
+        it."""
+        self.routes += [{**ROUTE, "name": f"added-{it}", "priority": 0,
+                         "path_prefix": f"/added-{it}/"}
+                        for it in range(ADDED_ROUTES)]
+        self.configure()
+        row = self.store.rows["op", "", "config"]
+        return len(row["value"]), f"/added-{ADDED_ROUTES - 1}/"
+
+    async def status_of(self, path):
+        """Returns the status of a count of waiting jobs; 0 without one."""
+        try:
+            status, _ = await http_stub.call(
+                HOST, self.daemon.callers, "GET", path, None,
+                ["Authorization: Bearer k-a", "Deadline-Ms: 1000"])
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
+                IndexError):
+            return 0
+        return status
+
+    async def time_until_served(self, path, limit):
+        """Returns the seconds until a route is served; None after the
+        limit."""
+        began = time.monotonic()
+        while time.monotonic() - began < limit:
+            if await self.status_of(path) == 200:
+                return time.monotonic() - began
+            await asyncio.sleep(0.1)
+        return None
+
+
+async def grows_while_it_serves(cell):
+    await cell.start()
+    await cell.wait_until_serving()
+    cell.daemon.store_path.rate = PATH_RATE
+    return cell.add_routes()
+
+
+async def is_large_at_the_start(cell):
+    out = cell.add_routes()
+    await cell.start()
+    cell.daemon.store_path.rate = PATH_RATE
+    return out
+
+
+# Each guards against a transfer that is abandoned after a fixed time and begun
+# again, without end: the daemon serves an outdated configuration, or none, and
+# its path to the store stays full.
+CASES = [("configuration grows while it serves", grows_while_it_serves),
+         ("configuration is large at the start", is_large_at_the_start)]
+
+
+async def run_case(program, folder, number, prepare):
+    cell = NarrowCell(program, folder, number)
+    size, path = await prepare(cell)
+    limit = size / PATH_RATE + MARGIN_S
+    took = await cell.time_until_served(path, limit)
+    cell.kill_daemons()
+    await cell.daemon.process.wait()
+    return took, limit
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--program", required=True, help="path of mustardwickd")
+    options = parser.parse_args()
+    failures = 0
+    for number, (name, prepare) in enumerate(CASES):
+        with tempfile.TemporaryDirectory() as folder:
+            took, limit = asyncio.run(run_case(
+                options.program, pathlib.Path(folder), 80 + number, prepare))
+        after = "never" if took is None else f"after {took:.2f} s"
+        print(f"{name}: served {after}, allowed {limit:.2f} s", flush=True)
+        failures += took is None
+    sys.exit(1 if failures else 0)
+
+
+if __name__ == "__main__":
+    main()
