Tell why a call to the leader got no answer, and what ended a transfer

A call to the leader keeps a trace of its attempts: submissions, queries, cancellations and counts without an answer are logged with the leader asked and the outcome, count and first time of each kind of failure. A connection to a peer that is dropped with open calls, a configuration that is not fetched and the loss of the store are logged with their reasons. The calls to the leader have a file of their own.

--- a/include/mustardwick/aio/peer_hub.hpp
+++ b/include/mustardwick/aio/peer_hub.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 
@@ -15,14 +16,36 @@
 namespace mustardwick::aio
 {
 
+/// @brief Why a call to another daemon has no answer.
+enum class peer_failure
+{
+    none,
+    /// No process listens at the address.
+    connection_refused,
+    /// The connection could not be opened in time or has ended.
+    connection_lost,
+    timed_out,
+    /// The peer answered that it failed.
+    failed
+};
+
+std::string_view to_string(peer_failure failure);
+
 /// @brief Outcome of a call to another daemon.
 struct peer_result
 {
-    /// The peer sent an answer, and not a failure.
-    bool answered = false;
-    /// The connection was refused: no process listens at the address.
-    bool connection_refused = false;
+    peer_failure failure = peer_failure::none;
     std::string payload;
+
+    bool answered() const
+    {
+        return failure == peer_failure::none;
+    }
+
+    bool connection_refused() const
+    {
+        return failure == peer_failure::connection_refused;
+    }
 };
 
 using peer_callback = std::function<void(peer_result)>;
--- a/include/mustardwick/entry/config_watch.hpp
+++ b/include/mustardwick/entry/config_watch.hpp
@@ -47,7 +47,7 @@
 private:
     void read_all();
     void watch_changes();
-    void retry(bool reread);
+    void retry(bool reread, const std::string& reason);
     void apply(const std::vector<durable::row>& rows);
     void apply_configuration(const std::string& text);
 
--- a/include/mustardwick/entry/gateway.hpp
+++ b/include/mustardwick/entry/gateway.hpp
@@ -10,6 +10,7 @@
 #include "mustardwick/aio/http_listener.hpp"
 #include "mustardwick/base/clock.hpp"
 #include "mustardwick/base/metrics.hpp"
+#include "mustardwick/entry/call_trace.hpp"
 #include "mustardwick/entry/config_watch.hpp"
 #include "mustardwick/entry/messages.hpp"
 #include "mustardwick/wire/frame.hpp"
@@ -23,6 +24,7 @@
     std::optional<job_reply> reply;
     /// Whether the call may have reached a leader.
     bool maybe_sent = false;
+    call_trace trace{};
 };
 
 /// @brief Handles the callers' HTTP requests and forwards them to the leader.
@@ -45,6 +47,9 @@
     void query(const call_context& context);
     void cancel(const call_context& context);
     void count(const call_context& context);
+    /// @brief Logs what became of each attempt of a call without an answer.
+    void log_unanswered(const call_context& context, std::string_view event,
+                        const leader_result& result) const;
     std::optional<std::string> account_of(const aio::incoming_request& request,
                                           const jobs::queue& queue) const;
 
--- a/src/mustardwick/aio/handler_errors_test.cpp
+++ b/src/mustardwick/aio/handler_errors_test.cpp
@@ -75,7 +75,7 @@
         {"usual", true}, {"odd", false}, {"usual", true}};
     for (const auto& [payload, answered] : cases)
     {
-        peer_result result;
+        peer_result result{peer_failure::timed_out, {}};
         caller.call(right, wire::message_type::query_job, payload,
                     milliseconds(1000),
                     [&](peer_result out)
@@ -85,7 +85,7 @@
                     });
         io.restart();
         io.run_for(milliseconds(3000));
-        cr_assert_eq(result.answered, answered, "%s", payload);
+        cr_assert_eq(result.answered(), answered, "%s", payload);
     }
 }
 
@@ -114,7 +114,7 @@
                     milliseconds(3000),
                     [&, payload](const peer_result& out)
                     {
-                        cr_expect(out.answered);
+                        cr_expect(out.answered());
                         cr_expect(out.payload == payload);
                         if (++answers == int(std::size(sizes)))
                             io.stop();
--- a/src/mustardwick/aio/peer_hub.cpp
+++ b/src/mustardwick/aio/peer_hub.cpp
@@ -12,6 +12,7 @@
 #include "framed_stream.hpp"
 #include "mustardwick/aio/acceptor.hpp"
 #include "mustardwick/aio/socket_options.hpp"
+#include "mustardwick/base/log.hpp"
 
 namespace mustardwick::aio
 {
@@ -118,7 +119,9 @@
                 {
                     current->timer.cancel();
                     return self->drop(peer, generation,
-                                      err == asio::error::connection_refused);
+                                      err == asio::error::connection_refused
+                                          ? peer_failure::connection_refused
+                                          : peer_failure::connection_lost);
                 }
                 set_low_latency(current->socket);
                 self->read_challenge(peer, current, generation);
@@ -135,7 +138,9 @@
                          {
                              current->timer.cancel();
                              if (ec)
-                                 return self->drop(peer, generation, false);
+                                 return self->drop(
+                                     peer, generation,
+                                     peer_failure::connection_lost);
                              self->connected(peer, *current, generation);
                          });
     }
@@ -159,7 +164,7 @@
             },
             [self = shared_from_this(), peer, generation](error_code)
             {
-                self->drop(peer, generation, false);
+                self->drop(peer, generation, peer_failure::connection_lost);
             });
         auto waiting = std::move(it.waiting);
         it.waiting.clear();
@@ -177,7 +182,8 @@
             return;
         auto done = std::move(found->second.done);
         it.calls.erase(found);
-        done({frame.type == wire::message_type::answer, false,
+        done({frame.type == wire::message_type::answer ? peer_failure::none
+                                                       : peer_failure::failed,
               std::move(frame.payload)});
     }
 
@@ -191,18 +197,20 @@
         const bool unresponsive = it.last_received <= found->second.sent;
         it.calls.erase(found);
         if (unresponsive && it.stream)
-            drop(peer, it.generation, false);
-        done({});
+            drop(peer, it.generation, peer_failure::connection_lost);
+        done({peer_failure::timed_out, {}});
     }
 
     /// Closes the connection to a peer and fails its pending calls.
     void drop(const wire::endpoint& peer, std::uint64_t generation,
-              bool connection_refused)
+              peer_failure failure)
     {
         auto& it = links[peer];
         if (it.generation != generation)
             return;
         ++it.generation;
+        if (it.stream && !it.calls.empty())
+            log_lost_connection(peer, it);
         if (it.stream)
             it.stream->close();
         it.stream.reset();
@@ -211,7 +219,18 @@
         auto calls = std::move(it.calls);
         it.calls.clear();
         for (auto& [id, call] : calls)
-            call.done({false, connection_refused, {}});
+            call.done({failure, {}});
+    }
+
+    static void log_lost_connection(const wire::endpoint& peer, const link& it)
+    {
+        const auto silence =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                steady::now() - it.last_received);
+        base::log_event(base::log_level::warning, "peers", "connection_lost",
+                        {{"peer", wire::to_string(peer)},
+                         {"open_calls", it.calls.size()},
+                         {"silent_ms", silence.count()}});
     }
 
     /// Closes the connection that has waited longest for its first frame;
@@ -319,6 +338,24 @@
     bool stopped = false;
 };
 
+std::string_view to_string(peer_failure failure)
+{
+    switch (failure)
+    {
+    case peer_failure::none:
+        return "none";
+    case peer_failure::connection_refused:
+        return "connection refused";
+    case peer_failure::connection_lost:
+        return "connection lost";
+    case peer_failure::timed_out:
+        return "timed out";
+    case peer_failure::failed:
+        return "the peer failed";
+    }
+    return "unknown";
+}
+
 peer_hub::peer_hub(asio::io_context& io, wire::endpoint listen,
                    std::string secret, connection_guard& guard,
                    peer_handler handle, peer_limits limits)
--- a/src/mustardwick/entry/advice_pool.cpp
+++ b/src/mustardwick/entry/advice_pool.cpp
@@ -97,7 +97,7 @@
                 {
                     std::optional<std::vector<dispatch::advice_ticket>> allowed;
                     std::optional<advice_reply> reply;
-                    if (result.answered)
+                    if (result.answered())
                         reply = wire::decode<advice_reply>(result.payload);
                     if (reply && reply->answered)
                         allowed = std::move(reply->allowed);
--- a/src/mustardwick/entry/config_watch.cpp
+++ b/src/mustardwick/entry/config_watch.cpp
@@ -51,7 +51,7 @@
                 [self = shared_from_this()](const durable::store_reply& reply)
                 {
                     if (!reply.ok())
-                        return self->retry(true);
+                        return self->retry(true, reply.reason);
                     self->version_ = reply.version;
                     // Rows deleted since the last read are not listed.
                     self->state_.evacuated.clear();
@@ -72,7 +72,7 @@
             if (reply.end == durable::store_outcome::history_truncated)
                 return self->read_all();
             if (!reply.ok())
-                return self->retry(false);
+                return self->retry(false, reply.reason);
             if (!self->connected_)
                 log_event(log_level::info, "config", "store_regained");
             self->connected_ = true;
@@ -83,10 +83,11 @@
         });
 }
 
-void config_watch::retry(bool reread)
+void config_watch::retry(bool reread, const std::string& reason)
 {
     if (connected_)
-        log_event(log_level::warning, "config", "store_lost");
+        log_event(log_level::warning, "config", "store_lost",
+                  {{"reason", reason}});
     connected_ = false;
     timer_.expires_after(retry_delay);
     timer_.async_wait(
--- a/src/mustardwick/entry/entry_node.cpp
+++ b/src/mustardwick/entry/entry_node.cpp
@@ -46,9 +46,9 @@
     caller_gateway = std::make_unique<gateway>(
         clock, metrics, config->state(),
         [this](message_type type, const std::string& payload,
-               base::steady_time deadline, const auto& done)
+               base::steady_time deadline, auto done)
         {
-            call_leader(type, payload, deadline, false, done);
+            call_leader(type, payload, deadline, std::move(done));
         });
     callers = std::make_unique<aio::http_listener>(
         io, options.callers, platform::deadline_header, guard,
--- a/src/mustardwick/entry/entry_node_impl.hpp
+++ b/src/mustardwick/entry/entry_node_impl.hpp
@@ -59,9 +59,18 @@
                       const aio::peer_responder& respond);
     void on_advice(const std::string& payload,
                    const aio::peer_responder& respond);
+    struct leader_attempt;
     void call_leader(message_type type, const std::string& payload,
-                     base::steady_time deadline, bool maybe_sent,
-                     const std::function<void(leader_result)>& done);
+                     base::steady_time deadline,
+                     std::function<void(leader_result)> done);
+    void try_leader(const std::shared_ptr<leader_attempt>& call);
+    void try_own_leader(const std::shared_ptr<leader_attempt>& call,
+                        milliseconds timeout);
+    void leader_answered(const std::shared_ptr<leader_attempt>& call,
+                         std::int64_t epoch, const aio::peer_result& result);
+    void retry_leader(const std::shared_ptr<leader_attempt>& call,
+                      std::string_view outcome);
+    void give_up(const leader_attempt& call);
     void configuration_changed(const operator_state& state);
     bool is_ready() const;
     /// @brief Returns when a request with the given deadline has to be answered
--- a/src/mustardwick/entry/entry_node_peers.cpp
+++ b/src/mustardwick/entry/entry_node_peers.cpp
@@ -1,8 +1,8 @@
 #include "entry_node_impl.hpp"
 
-#include <algorithm>
 #include <utility>
 
+#include "mustardwick/base/log.hpp"
 #include "mustardwick/wire/codec.hpp"
 
 namespace mustardwick::entry
@@ -11,13 +11,11 @@
 namespace
 {
 
+using base::log_event;
+using base::log_level;
+
 constexpr milliseconds configuration_timeout{1000};
 constexpr milliseconds probe_timeout{500};
-/// Delay between two attempts to reach a leader.
-constexpr milliseconds leader_retry{60};
-/// Maximum wait for one answer of the leader; a commit to a slow store takes
-/// most of a second.
-constexpr milliseconds leader_call_timeout{1500};
 
 } // namespace
 
@@ -104,14 +102,24 @@
     if (fetching_configuration || leader)
         return;
     fetching_configuration = true;
-    peers->call(known_leader.endpoint, message_type::fetch_configuration, {},
-                configuration_timeout,
-                [this](const aio::peer_result& result)
-                {
-                    fetching_configuration = false;
-                    if (result.answered && !result.payload.empty())
-                        config->apply_from_peer(result.payload);
-                });
+    const auto begin = clock.now();
+    peers->call(
+        known_leader.endpoint, message_type::fetch_configuration, {},
+        configuration_timeout,
+        [this, begin](const aio::peer_result& result)
+        {
+            fetching_configuration = false;
+            if (result.answered() && !result.payload.empty())
+                return config->apply_from_peer(result.payload);
+            const auto waited =
+                std::chrono::duration_cast<milliseconds>(clock.now() - begin);
+            log_event(
+                log_level::warning, "config", "configuration_not_fetched",
+                {{"leader", known_leader.name},
+                 {"waited_ms", waited.count()},
+                 {"reason", result.answered() ? "the leader has none"
+                                              : to_string(result.failure)}});
+        });
 }
 
 void entry_node::impl::on_advice(const std::string& payload,
@@ -136,85 +144,4 @@
                       });
 }
 
-base::steady_time
-entry_node::impl::answer_time(base::steady_time deadline) const
-{
-    return last_answer ? std::min(deadline, *last_answer) : deadline;
-}
-
-void entry_node::impl::call_leader(
-    message_type type, const std::string& payload, base::steady_time deadline,
-    bool maybe_sent, const std::function<void(leader_result)>& done)
-{
-    const bool may_refuse = !maybe_sent && type == message_type::submit_job;
-    if (may_refuse && availability.is_missing(clock.now()))
-        return done({std::nullopt, false});
-    const auto again = [this, type, payload, deadline, done](bool sent)
-    {
-        availability.call_failed(clock.now());
-        const auto next = clock.now() + leader_retry;
-        if (next >= answer_time(deadline))
-            return done({std::nullopt, sent});
-        auto timer = std::make_shared<asio::steady_timer>(io, leader_retry);
-        timer->async_wait(
-            [this, timer, type, payload, deadline, sent,
-             done](boost::system::error_code)
-            {
-                call_leader(type, payload, deadline, sent, done);
-            });
-    };
-    const auto left = std::chrono::duration_cast<milliseconds>(
-        answer_time(deadline) - clock.now());
-    if (left.count() <= 0)
-        return done({std::nullopt, maybe_sent});
-    if (leader)
-    {
-        auto timer = std::make_shared<asio::steady_timer>(
-            io, std::min(left, leader_call_timeout));
-        const auto open = std::make_shared<bool>(true);
-        const auto respond =
-            [this, done, again, timer, open](const std::string& answer)
-        {
-            if (!std::exchange(*open, false))
-                return;
-            timer->cancel();
-            const auto reply = wire::decode<job_reply>(answer);
-            if (!reply)
-                return again(true);
-            availability.call_succeeded();
-            done({reply, true});
-        };
-        if (!leader->handle(type, payload, respond))
-            return again(maybe_sent);
-        if (*open)
-            timer->async_wait(
-                [timer, open, again](boost::system::error_code ec)
-                {
-                    if (!ec && std::exchange(*open, false))
-                        again(true);
-                });
-        return;
-    }
-    if (known_leader.epoch == 0 || !peers || known_leader.name == options.name)
-        return again(maybe_sent);
-    peers->call(known_leader.endpoint, type, payload,
-                std::min(left, leader_call_timeout),
-                [this, maybe_sent, again, done,
-                 epoch = known_leader.epoch](const aio::peer_result& result)
-                {
-                    std::optional<job_reply> reply;
-                    if (result.answered)
-                        reply = wire::decode<job_reply>(result.payload);
-                    if (reply && reply->status != reply_status::not_leader)
-                    {
-                        availability.call_succeeded();
-                        return done({reply, true});
-                    }
-                    if (result.connection_refused &&
-                        epoch == known_leader.epoch && !leader)
-                        candidate->leader_connection_refused(epoch);
-                    again(maybe_sent || !(reply || result.connection_refused));
-                });
-}
-
 } // namespace mustardwick::entry
--- a/src/mustardwick/entry/gateway.cpp
+++ b/src/mustardwick/entry/gateway.cpp
@@ -168,6 +168,21 @@
     reply(json_response(not_found));
 }
 
+void gateway::log_unanswered(const call_context& context,
+                             std::string_view event,
+                             const leader_result& result) const
+{
+    log_event(log_level::warning, "gateway", event,
+              {{"job", context.id},
+               {"queue", context.queue},
+               {"waited_ms", result.trace.age(clock_.now()).count()},
+               {"attempts", result.trace.attempts()},
+               {"leader", result.trace.leader()},
+               {"epoch", result.trace.epoch()},
+               {"maybe_sent", int(result.maybe_sent)},
+               {"outcomes", result.trace.outcomes()}});
+}
+
 void gateway::submit(const call_context& context, const std::string& body)
 {
     auto job = platform::decode_job(body);
@@ -198,7 +213,7 @@
                 " can be stored"));
     }
     call_(message_type::submit_job, specification, context.deadline,
-          [context](leader_result result)
+          [this, context](const leader_result& result)
           {
               const auto refused = result.reply
                                        ? refusal_reason(result.reply->status)
@@ -224,9 +239,7 @@
                              {"configuration", context.configuration}});
                   return context.respond(json_response(ok));
               }
-              log_event(log_level::warning, "gateway", "job_not_accepted",
-                        {{"job", context.id},
-                         {"maybe_sent", int(result.maybe_sent)}});
+              log_unanswered(context, "job_not_accepted", result);
               // A 503 would promise that the job never runs, but a leader may
               // have stored it.
               context.respond(result.maybe_sent
@@ -239,10 +252,13 @@
 {
     call_(message_type::query_job, wire::encode(job_query{context.id}),
           context.deadline,
-          [context](leader_result result)
+          [this, context](const leader_result& result)
           {
               if (!result.reply)
+              {
+                  log_unanswered(context, "query_unanswered", result);
                   return context.respond(retry_later(failover_retry_after));
+              }
               if (result.reply->status == reply_status::unknown_job)
                   return context.respond(json_response(gone));
               context.respond(json_response(
@@ -254,10 +270,13 @@
 {
     call_(message_type::cancel_job, wire::encode(job_query{context.id}),
           context.deadline,
-          [context](leader_result result)
+          [this, context](const leader_result& result)
           {
               if (!result.reply)
+              {
+                  log_unanswered(context, "cancel_unanswered", result);
                   return context.respond(retry_later(failover_retry_after));
+              }
               const bool known =
                   result.reply->status != reply_status::unknown_job;
               context.respond(json_response(known ? ok : gone));
@@ -268,10 +287,13 @@
 {
     call_(message_type::count_waiting, wire::encode(queue_query{context.queue}),
           context.deadline,
-          [context](leader_result result)
+          [this, context](const leader_result& result)
           {
               if (!result.reply)
+              {
+                  log_unanswered(context, "count_unanswered", result);
                   return context.respond(retry_later(failover_retry_after));
+              }
               context.respond(json_response(
                   ok, platform::encode_waiting_count(result.reply->waiting)));
           });
--- a/src/mustardwick/entry/member_heartbeats.cpp
+++ b/src/mustardwick/entry/member_heartbeats.cpp
@@ -138,16 +138,15 @@
             member.heartbeat_open = false;
             const auto now = self->clock_.now();
             std::optional<heartbeat_reply> answer;
-            if (result.answered)
+            if (result.answered())
                 answer = wire::decode<heartbeat_reply>(result.payload);
             if (!answer)
             {
                 if (member.responsive && !self->stopped_)
-                    base::log_event(
-                        base::log_level::warning, "members",
-                        "member_unresponsive",
-                        {{"member", name},
-                         {"refused", int(result.connection_refused)}});
+                    base::log_event(base::log_level::warning, "members",
+                                    "member_unresponsive",
+                                    {{"member", name},
+                                     {"reason", to_string(result.failure)}});
                 member.responsive = false;
                 member.next_heartbeat = now + unresponsive_interval;
                 return;
