--- a/include/mustardwick/aio/http_channel.hpp
+++ b/include/mustardwick/aio/http_channel.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,6 +25,10 @@
     std::vector<std::pair<std::string, std::string>> headers;
     /// Includes the time that the call waits for a connection.
     std::chrono::milliseconds timeout{1000};
+    /// When set, an answer that has begun to arrive is given up only after this
+    /// time without a byte, and `timeout` ends with its first byte: how long a
+    /// large answer takes depends on the path, not on the peer.
+    std::optional<std::chrono::milliseconds> stall_timeout;
 };
 
 /// @brief How far a call got.
--- a/src/mustardwick/aio/http_channel.cpp
+++ b/src/mustardwick/aio/http_channel.cpp
@@ -139,14 +139,32 @@
     {
         parser_.emplace();
         parser_->body_limit(owner_->options_.max_body_bytes);
-        http::async_read(stream_, buffer_, *parser_,
-                         [self = shared_from_this()](error_code ec, std::size_t)
-                         {
-                             if (ec)
-                                 return self->finish_failed(
-                                     transport_outcome::maybe_sent, ec);
-                             self->finish_answered();
-                         });
+        parser_->eager(true);
+        read_part();
+    }
+
+    void read_part()
+    {
+        http::async_read_some(
+            stream_, buffer_, *parser_,
+            [self = shared_from_this()](error_code ec, std::size_t)
+            {
+                if (ec)
+                    return self->finish_failed(transport_outcome::maybe_sent,
+                                               ec);
+                if (self->parser_->is_done())
+                    return self->finish_answered();
+                self->extend_deadline();
+                self->read_part();
+            });
+    }
+
+    void extend_deadline()
+    {
+        const auto& stall_timeout = current_->call.stall_timeout;
+        if (stall_timeout)
+            stream_.expires_at(
+                std::max(deadline_, steady::now() + *stall_timeout));
     }
 
     void finish_failed(transport_outcome end, error_code ec)
--- a/src/mustardwick/aio/http_channel_test.cpp
+++ b/src/mustardwick/aio/http_channel_test.cpp
@@ -4,6 +4,7 @@
 
 #include "guard_test.hpp"
 #include "mustardwick/aio/http_listener.hpp"
+#include "narrow_path_test.hpp"
 
 using namespace mustardwick;
 using namespace mustardwick::aio;
@@ -65,3 +66,94 @@
         channel->close();
     }
 }
+
+namespace
+{
+
+struct slow_answer_case
+{
+    const char* name;
+    aio::test::path_limits path;
+    std::optional<milliseconds> stall_timeout;
+    transport_outcome end;
+    /// Bounds of the time until the call ends.
+    milliseconds earliest;
+    milliseconds latest;
+};
+
+} // namespace
+
+// Guards against a large answer that is abandoned on its way and asked for
+// again without end, and against one that has stopped arriving and is awaited
+// for ever.
+Test(http_channel, waits_for_a_large_answer_as_long_as_it_arrives)
+{
+    constexpr std::size_t rate = 200'000;
+    const std::string body(rate, 'x');
+    const slow_answer_case cases[] = {
+        {"arrives slowly",
+         {rate, {}},
+         milliseconds(300),
+         transport_outcome::answered,
+         milliseconds(900),
+         milliseconds(3000)},
+        {"stops arriving",
+         {rate, rate / 2},
+         milliseconds(300),
+         transport_outcome::maybe_sent,
+         milliseconds(700),
+         milliseconds(1500)},
+        {"does not begin",
+         {rate, 0},
+         milliseconds(300),
+         transport_outcome::maybe_sent,
+         milliseconds(350),
+         milliseconds(700)},
+        {"limited as a whole",
+         {rate, {}},
+         std::nullopt,
+         transport_outcome::maybe_sent,
+         milliseconds(350),
+         milliseconds(700)},
+    };
+    std::uint16_t port = 18'791;
+    for (const auto& it : cases)
+    {
+        boost::asio::io_context io;
+        const wire::endpoint server_address{"127.0.0.1", port++};
+        const wire::endpoint path_address{"127.0.0.1", port++};
+        http_listener server(io, server_address, "Deadline-Ms",
+                             aio::test::ample_guard(),
+                             [&](const auto&, const auto& respond)
+                             {
+                                 respond({200, body, "text/plain", {}});
+                             });
+        cr_assert(server.start());
+        const aio::test::narrow_path path(io, path_address, server_address,
+                                          it.path);
+        const auto channel =
+            std::make_shared<http_channel>(io, path_address, channel_options{});
+        http_call call;
+        call.method = "GET";
+        call.timeout = milliseconds(400);
+        call.stall_timeout = it.stall_timeout;
+        http_result result;
+        const auto begin = std::chrono::steady_clock::now();
+        channel->send(std::move(call),
+                      [&](http_result out)
+                      {
+                          result = std::move(out);
+                          io.stop();
+                      });
+        io.run_for(milliseconds(5000));
+        const auto took = std::chrono::duration_cast<milliseconds>(
+            std::chrono::steady_clock::now() - begin);
+        cr_expect(result.end == it.end, "%s: %s", it.name,
+                  result.reason.c_str());
+        cr_expect(took >= it.earliest && took <= it.latest, "%s: %d ms",
+                  it.name, int(took.count()));
+        if (result.answered())
+            cr_expect_eq(result.body, body);
+        channel->close();
+    }
+}
