--- a/src/mustardwick/aio/framed_stream.hpp
+++ b/src/mustardwick/aio/framed_stream.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -54,6 +55,12 @@
             });
     }
 
+    /// Returns when bytes arrived last; at first, when the stream was made.
+    std::chrono::steady_clock::time_point last_received() const
+    {
+        return last_received_;
+    }
+
     bool is_authenticated() const
     {
         return is_authenticated_;
@@ -102,6 +109,7 @@
             {
                 if (ec)
                     return self->close_with(ec);
+                self->last_received_ = std::chrono::steady_clock::now();
                 self->received_.append(self->buffer_.data(), n);
                 if (!self->handle_frames() || !self->socket_.is_open())
                     return;
@@ -228,6 +236,8 @@
     std::deque<std::string> queue_;
     std::string batch_;
     std::size_t unsent_ = 0;
+    std::chrono::steady_clock::time_point last_received_ =
+        std::chrono::steady_clock::now();
     bool writing_ = false;
     bool is_authenticated_ = true;
     bool is_shed_ = false;
--- a/src/mustardwick/aio/narrow_path_test.hpp
+++ b/src/mustardwick/aio/narrow_path_test.hpp
@@ -37,6 +37,12 @@
         accept();
     }
 
+    /// From now on nothing passes, and no connection is closed.
+    void go_silent()
+    {
+        limits_.max_bytes = passed_;
+    }
+
 private:
     using tcp = boost::asio::ip::tcp;
     using error_code = boost::system::error_code;
--- a/src/mustardwick/aio/peer_hub.cpp
+++ b/src/mustardwick/aio/peer_hub.cpp
@@ -46,7 +46,6 @@
         bool connecting = false;
         std::vector<wire::frame> waiting;
         std::map<std::uint64_t, pending_call> calls;
-        steady::time_point last_received;
         std::uint64_t generation = 0;
     };
 
@@ -152,7 +151,6 @@
         if (it.generation != generation || stopped)
             return;
         it.connecting = false;
-        it.last_received = steady::now();
         it.stream = std::make_shared<framed_stream>(
             std::move(current.socket),
             wire::connection_key(
@@ -176,7 +174,6 @@
     void answered(const wire::endpoint& peer, wire::frame frame)
     {
         auto& it = links[peer];
-        it.last_received = steady::now();
         const auto found = it.calls.find(frame.correlation);
         if (found == it.calls.end())
             return;
@@ -194,9 +191,10 @@
         if (found == it.calls.end())
             return;
         auto done = std::move(found->second.done);
-        const bool unresponsive = it.last_received <= found->second.sent;
+        const bool is_silent =
+            it.stream && it.stream->last_received() <= found->second.sent;
         it.calls.erase(found);
-        if (unresponsive && it.stream)
+        if (is_silent)
             drop(peer, it.generation, peer_failure::connection_lost);
         done({peer_failure::timed_out, {}});
     }
@@ -226,7 +224,7 @@
     {
         const auto silence =
             std::chrono::duration_cast<std::chrono::milliseconds>(
-                steady::now() - it.last_received);
+                steady::now() - it.stream->last_received());
         base::log_event(base::log_level::warning, "peers", "connection_lost",
                         {{"peer", wire::to_string(peer)},
                          {"open_calls", it.calls.size()},
