--- a/include/mustardwick/aio/http_channel.hpp
+++ b/include/mustardwick/aio/http_channel.hpp
@@ -91,6 +91,13 @@
     /// it reaches the process that answered the last one.
     bool has_idle_connection();
 
+    /// @brief Returns when a part of an answer arrived last that is not
+    /// complete yet.
+    std::chrono::steady_clock::time_point last_part() const
+    {
+        return last_part_;
+    }
+
     std::uint64_t connections_opened() const
     {
         return connections_opened_;
@@ -116,6 +123,7 @@
     std::deque<waiting_call> waiting_;
     std::size_t open_ = 0;
     std::uint64_t connections_opened_ = 0;
+    std::chrono::steady_clock::time_point last_part_;
     bool closed_ = false;
 };
 
--- a/include/mustardwick/entry/messages.hpp
+++ b/include/mustardwick/entry/messages.hpp
@@ -78,6 +78,38 @@
     }
 };
 
+/// @brief Asks the leader for the next block of its configuration.
+struct configuration_request
+{
+    /// Version of the blocks that the sender has; 0 for none.
+    std::int64_t version = 0;
+    /// Bytes that the sender has of it.
+    std::uint64_t offset = 0;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(version, offset);
+    }
+};
+
+/// @brief A part of the operator's configuration in its original text. It
+/// begins at offset 0 when the leader has another version than the one asked
+/// for.
+struct configuration_block
+{
+    std::int64_t version = 0;
+    std::uint64_t total_bytes = 0;
+    std::uint64_t offset = 0;
+    std::string bytes;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(version, total_bytes, offset, bytes);
+    }
+};
+
 struct heartbeat_reply
 {
     /// Highest epoch that the member knows of.
--- a/src/mustardwick/aio/http_channel.cpp
+++ b/src/mustardwick/aio/http_channel.cpp
@@ -154,6 +154,7 @@
                                                ec);
                 if (self->parser_->is_done())
                     return self->finish_answered();
+                self->owner_->last_part_ = steady::now();
                 self->extend_deadline();
                 self->read_part();
             });
@@ -190,6 +191,7 @@
         const bool keep = parser_->keep_alive();
         stream_.expires_never();
         auto owner = std::move(owner_);
+        owner->last_part_ = {};
         auto call = std::move(*current_);
         current_.reset();
         if (!keep)
--- /dev/null
+++ b/src/mustardwick/entry/configuration_fetch_test.cpp
@@ -0,0 +1,166 @@
+#include "mustardwick/entry/configuration_fetch.hpp"
+
+#include <deque>
+
+#include <criterion/criterion.h>
+
+using namespace mustardwick;
+using namespace mustardwick::entry;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+/// A leader whose answers the test delivers or loses.
+struct leader_stub
+{
+    void call(const wire::endpoint&, wire::message_type,
+              const std::string& payload, milliseconds, aio::peer_callback done)
+    {
+        ++calls;
+        open.push_back({payload, std::move(done)});
+    }
+
+    void answer()
+    {
+        auto [payload, done] = std::move(open.front());
+        open.pop_front();
+        const auto reply = is_earlier_release
+                               ? text
+                               : configuration_reply(payload, version, text);
+        sent_bytes += reply.size();
+        done({aio::peer_failure::none, reply});
+    }
+
+    void lose()
+    {
+        auto [payload, done] = std::move(open.front());
+        open.pop_front();
+        done({aio::peer_failure::timed_out, {}});
+    }
+
+    bool is_earlier_release = false;
+    std::int64_t version = 7;
+    std::string text;
+    int calls = 0;
+    std::size_t sent_bytes = 0;
+    std::deque<std::pair<std::string, aio::peer_callback>> open;
+};
+
+struct fetch_case
+{
+    const char* name;
+    std::size_t bytes;
+    /// Every so many blocks one is lost.
+    int lost_block;
+    /// The leader learns of a newer version after so many blocks.
+    int change_after;
+    bool is_earlier_release;
+    /// Bytes that the leader may send beyond the text.
+    std::size_t surplus;
+};
+
+/// Letters that differ from block to block.
+std::string make_text(std::size_t n, char first)
+{
+    std::string out(n, first);
+    for (std::size_t it = 0; it < n; ++it)
+        out[it] = char(first + it / 1000 % 20);
+    return out;
+}
+
+} // namespace
+
+// Guards against a configuration that is fetched as a whole and begun again
+// after each loss: above some size no daemon with a slow link ever has it, and
+// the links of all daemons stay full.
+Test(configuration_fetch, keeps_what_has_arrived)
+{
+    constexpr std::size_t block = configuration_block_bytes;
+    const fetch_case cases[] = {
+        {"one block", 100, 0, 0, false, 100},
+        {"many blocks", 25 * block + 17, 0, 0, false, 26 * 100},
+        {"whole blocks", 2 * block, 0, 0, false, 200},
+        {"every second block is lost", 8 * block, 2, 0, false, 8 * 100},
+        {"changes on the way", 8 * block, 0, 3, false, 4 * block},
+        {"earlier release", 8 * block, 0, 0, true, 0},
+    };
+    const base::system_clock clock;
+    for (const auto& it : cases)
+    {
+        leader_stub leader;
+        leader.is_earlier_release = it.is_earlier_release;
+        leader.text = make_text(it.bytes, 'a');
+        std::string received;
+        using fetch = configuration_fetch<leader_stub>;
+        const auto tested =
+            std::make_shared<fetch>(clock, leader,
+                                    fetch::events{[]
+                                                  {
+                                                      return false;
+                                                  },
+                                                  [&](const std::string& text)
+                                                  {
+                                                      received = text;
+                                                  }});
+        for (int n = 1; received.empty() && n < 100; ++n)
+        {
+            if (n == it.change_after)
+            {
+                leader.text = make_text(it.bytes + 5, 'c');
+                ++leader.version;
+            }
+            tested->advance({"127.0.0.1", 1}, leader.version);
+            cr_assert_eq(leader.open.size(), 1, "%s", it.name);
+            if (it.lost_block > 0 && n % it.lost_block == 0)
+                leader.lose();
+            else
+                leader.answer();
+        }
+        cr_expect(received == leader.text, "%s: %zu of %zu bytes", it.name,
+                  received.size(), leader.text.size());
+        cr_expect_leq(leader.sent_bytes, leader.text.size() + it.surplus,
+                      "%s: %zu", it.name, leader.sent_bytes);
+    }
+}
+
+// Guards against a configuration that is received twice at the same time, from
+// the store and from the leader, so that a slow link carries neither in time.
+Test(configuration_fetch, leaves_the_link_to_the_store_while_that_delivers)
+{
+    const base::system_clock clock;
+    leader_stub leader;
+    leader.text = make_text(4 * configuration_block_bytes, 'a');
+    bool store_delivers = true;
+    std::string received;
+    using fetch = configuration_fetch<leader_stub>;
+    const auto tested =
+        std::make_shared<fetch>(clock, leader,
+                                fetch::events{[&]
+                                              {
+                                                  return store_delivers;
+                                              },
+                                              [&](const std::string& text)
+                                              {
+                                                  received = text;
+                                              }});
+    const auto advance = [&]
+    {
+        tested->advance({"127.0.0.1", 1}, leader.version);
+    };
+    advance();
+    cr_assert_eq(leader.calls, 0);
+    store_delivers = false;
+    advance();
+    store_delivers = true;
+    leader.answer();
+    advance();
+    cr_assert_eq(leader.calls, 1);
+    // The store stops delivering: the leader continues where it was.
+    store_delivers = false;
+    advance();
+    while (!leader.open.empty())
+        leader.answer();
+    cr_assert_eq(leader.calls, 4);
+    cr_assert(received == leader.text);
+}
--- a/src/mustardwick/entry/entry_node.cpp
+++ b/src/mustardwick/entry/entry_node.cpp
@@ -142,6 +142,17 @@
             on_peer_message(type, payload, respond);
         },
         aio::peer_limits{.max_incoming = options.connections.peers});
+    fetch = std::make_shared<configuration_fetch<aio::peer_hub>>(
+        clock, *peers,
+        configuration_fetch<aio::peer_hub>::events{
+            [this]
+            {
+                return store.is_delivering();
+            },
+            [this](const std::string& text)
+            {
+                config->apply_from_peer(text);
+            }});
     if (!peers->start())
     {
         log_event(log_level::error, "daemon", "peer_start_failed",
--- a/src/mustardwick/entry/entry_node_impl.hpp
+++ b/src/mustardwick/entry/entry_node_impl.hpp
@@ -8,6 +8,7 @@
 #include "mustardwick/aio/http_listener.hpp"
 #include "mustardwick/aio/peer_hub.hpp"
 #include "mustardwick/entry/cell_leader.hpp"
+#include "mustardwick/entry/configuration_fetch.hpp"
 #include "mustardwick/entry/entry_node.hpp"
 #include "mustardwick/entry/gateway.hpp"
 #include "mustardwick/entry/leader_availability.hpp"
@@ -51,7 +52,6 @@
     void leadership_lost(std::optional<member_record> successor);
     void update_leader(std::int64_t epoch, const std::string& name,
                        const wire::endpoint& endpoint);
-    void fetch_configuration();
     void probe_store();
     void on_peer_message(message_type type, const std::string& payload,
                          const aio::peer_responder& respond);
@@ -91,6 +91,8 @@
     member_record self_record;
     std::shared_ptr<config_watch> config;
     std::unique_ptr<aio::peer_hub> peers;
+    /// Set with `peers`.
+    std::shared_ptr<configuration_fetch<aio::peer_hub>> fetch;
     std::shared_ptr<leader_candidate> candidate;
     std::unique_ptr<gateway> caller_gateway;
     std::unique_ptr<aio::http_listener> callers;
@@ -103,7 +105,6 @@
     processor_probe processor{clock};
     leader_availability availability;
     std::function<std::optional<settings>()> reload;
-    bool fetching_configuration = false;
     bool probing_store = false;
     store_reachability store_answers;
     bool leaving = false;
--- a/src/mustardwick/entry/entry_node_peers.cpp
+++ b/src/mustardwick/entry/entry_node_peers.cpp
@@ -14,7 +14,6 @@
 using base::log_event;
 using base::log_level;
 
-constexpr milliseconds configuration_timeout{1000};
 constexpr milliseconds probe_timeout{500};
 
 } // namespace
@@ -28,7 +27,11 @@
     if (type == message_type::query_advice)
         return on_advice(payload, respond);
     if (type == message_type::fetch_configuration)
-        return respond(config->state().configuration_text);
+    {
+        const auto& [configuration, text, evacuated] = config->state();
+        return respond(configuration_reply(
+            payload, configuration ? configuration->version : 0, text));
+    }
     if (type == message_type::join_cell)
     {
         const auto record = wire::decode<member_record>(payload);
@@ -68,8 +71,10 @@
         if (!leader)
             candidate->heartbeat_received(heartbeat->succession_tier);
         const auto& known = config->state().configuration;
-        if (!known || known->version < heartbeat->configuration)
-            fetch_configuration();
+        if (leader || (known && known->version >= heartbeat->configuration))
+            fetch->clear();
+        else
+            fetch->advance(known_leader.endpoint, heartbeat->configuration);
         if (heartbeat->store_failing)
             probe_store();
     }
@@ -97,31 +102,6 @@
                });
 }
 
-void entry_node::impl::fetch_configuration()
-{
-    if (fetching_configuration || leader)
-        return;
-    fetching_configuration = true;
-    const auto begin = clock.now();
-    peers->call(
-        known_leader.endpoint, message_type::fetch_configuration, {},
-        configuration_timeout,
-        [this, begin](const aio::peer_result& result)
-        {
-            fetching_configuration = false;
-            if (result.answered() && !result.payload.empty())
-                return config->apply_from_peer(result.payload);
-            const auto waited =
-                std::chrono::duration_cast<milliseconds>(clock.now() - begin);
-            log_event(
-                log_level::warning, "config", "configuration_not_fetched",
-                {{"leader", known_leader.name},
-                 {"waited_ms", waited.count()},
-                 {"reason", result.answered() ? "the leader has none"
-                                              : to_string(result.failure)}});
-        });
-}
-
 void entry_node::impl::on_advice(const std::string& payload,
                                  const aio::peer_responder& respond)
 {
