--- a/src/mustardwick/entry/entry_node_peers.cpp
+++ b/src/mustardwick/entry/entry_node_peers.cpp
@@ -2,7 +2,6 @@
 
 #include <utility>
 
-#include "mustardwick/base/log.hpp"
 #include "mustardwick/wire/codec.hpp"
 
 namespace mustardwick::entry
@@ -11,9 +10,6 @@
 namespace
 {
 
-using base::log_event;
-using base::log_level;
-
 constexpr milliseconds probe_timeout{500};
 
 } // namespace
