Report connections that the callers' listener closes itself

Callers saw requests that ended without an answer, and nothing in the log or the metrics told whether the listener had closed their connections. Each close by the listener is now counted by its cause (mustardwick_closed_CAUSE_total), and those with unread bytes or an open request also in mustardwick_closed_unanswered_CAUSE_total and, ten a second at most, in event connection_closed with cause, age and unread bytes. Idle connections without unread bytes are only counted.

--- a/src/mustardwick/aio/connection_guard.cpp
+++ b/src/mustardwick/aio/connection_guard.cpp
@@ -13,6 +13,14 @@
 
 constexpr std::chrono::milliseconds log_interval{1000};
 
+/// Returns a cause as a part of the name of a counter.
+std::string name_of(std::string_view cause)
+{
+    std::string name(cause);
+    std::replace(name.begin(), name.end(), ' ', '_');
+    return name;
+}
+
 } // namespace
 
 connection_guard::connection_guard(const base::clock& time,
@@ -65,9 +73,7 @@
 void connection_guard::refused(std::string_view component,
                                std::string_view cause)
 {
-    std::string name(cause);
-    std::replace(name.begin(), name.end(), ' ', '_');
-    metrics_.add("mustardwick_refused_" + name + "_total");
+    metrics_.add("mustardwick_refused_" + name_of(cause) + "_total");
     ++unlogged_;
     const auto now = clock_.now();
     if (now < next_log_)
@@ -77,4 +83,31 @@
                     {{"cause", cause}, {"count", std::exchange(unlogged_, 0)}});
 }
 
+void connection_guard::closed(std::string_view component,
+                              const closed_connection& it)
+{
+    metrics_.add("mustardwick_closed_" + name_of(it.cause) + "_total");
+    if (it.unread_bytes == 0 && !it.is_request_open)
+        return;
+    metrics_.add("mustardwick_closed_unanswered_" + name_of(it.cause) +
+                 "_total");
+    const auto now = clock_.now();
+    if (now >= next_close_log_)
+    {
+        next_close_log_ = now + log_interval;
+        logged_closes_ = 0;
+    }
+    if (++logged_closes_ > max_logged_closes)
+    {
+        ++omitted_closes_;
+        return;
+    }
+    base::log_event(base::log_level::warning, component, "connection_closed",
+                    {{"cause", it.cause},
+                     {"age_ms", it.age.count()},
+                     {"unread_bytes", it.unread_bytes},
+                     {"open_request", int(it.is_request_open)},
+                     {"omitted", std::exchange(omitted_closes_, 0)}});
+}
+
 } // namespace mustardwick::aio
--- a/src/mustardwick/aio/connection_guard_test.cpp
+++ b/src/mustardwick/aio/connection_guard_test.cpp
@@ -76,3 +76,36 @@
     cr_assert_eq(metrics.count("mustardwick_refused_not_authenticated_total"),
                  1);
 }
+
+struct closed_case
+{
+    const char* name;
+    closed_connection connection;
+    std::uint64_t unanswered;
+};
+
+// Guards against a closed connection whose caller waits for an answer and that
+// no counter shows, and against counting idle connections as such.
+Test(connection_guard, counts_closed_connections_that_owe_an_answer)
+{
+    base::set_up_log("test", base::log_level::error);
+    const std::chrono::milliseconds age{15'000};
+    const closed_case cases[] = {
+        {"idle", {"idle", age}, 0},
+        {"idle with unread bytes", {"idle", age, 70, false}, 1},
+        {"request in progress", {"idle", age, 0, true}, 1},
+    };
+    for (const auto& it : cases)
+    {
+        const base::manual_clock clock;
+        base::metrics metrics;
+        connection_guard guard(clock, metrics, 100);
+        for (int n = 0; n < 2 * connection_guard::max_logged_closes; ++n)
+            guard.closed("listener", it.connection);
+        const auto all = 2U * connection_guard::max_logged_closes;
+        cr_assert_eq(metrics.count("mustardwick_closed_idle_total"), all, "%s",
+                     it.name);
+        cr_assert_eq(metrics.count("mustardwick_closed_unanswered_idle_total"),
+                     all * it.unanswered, "%s", it.name);
+    }
+}
--- a/src/mustardwick/aio/http_listener.cpp
+++ b/src/mustardwick/aio/http_listener.cpp
@@ -11,6 +11,7 @@
 
 namespace asio = boost::asio;
 using boost::system::error_code;
+using std::chrono::milliseconds;
 
 } // namespace
 
@@ -25,17 +26,25 @@
             longest = it;
     if (!longest || !longest->is_idle())
         return false;
-    longest->close();
+    longest->close("displaced");
     return true;
 }
 
+void http_listener::impl::turn_away(asio::ip::tcp::socket& socket)
+{
+    error_code ec;
+    const auto unread = socket.available(ec);
+    guard.closed("listener",
+                 {"turned away", milliseconds(0), ec ? 0 : unread, false});
+}
+
 void http_listener::impl::accepted(asio::ip::tcp::socket socket)
 {
     if (sessions.size() >= limits.max_connections)
     {
         guard.refused("listener", "too many connections");
         if (!close_longest_idle())
-            return;
+            return turn_away(socket);
     }
     set_low_latency(socket);
     auto it = std::make_shared<session>(shared_from_this(), std::move(socket));
@@ -73,7 +82,7 @@
     const auto sessions = impl_->sessions;
     for (const auto& it : sessions)
         if (!it->is_busy())
-            it->close();
+            it->close("stopping");
 }
 
 bool http_listener::start()
@@ -103,7 +112,7 @@
     const auto sessions = impl_->sessions;
     for (const auto& it : sessions)
         if (it->is_idle())
-            it->close();
+            it->close("stopping");
 }
 
 bool http_listener::is_closed() const
--- a/src/mustardwick/aio/http_listener_impl.hpp
+++ b/src/mustardwick/aio/http_listener_impl.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -36,6 +37,8 @@
     /// Closes the connection that has been idle for longest; returns false when
     /// none is idle.
     bool close_longest_idle();
+    /// Closes a new connection for which there is no place.
+    void turn_away(boost::asio::ip::tcp::socket& socket);
     /// Accepts the connections that wait to be accepted.
     void accept_established();
 
@@ -79,10 +82,13 @@
     /// about to arrive on a new connection.
     bool is_idle();
 
-    void close();
+    /// Closes a connection that its caller still had, and reports it.
+    void close(std::string_view cause);
 
 private:
     void arm_idle_timer();
+    /// Ends the session, without a report.
+    void end();
     void prepare_parser();
     void read_request();
     /// Reads in parts, so that the bytes held so far are counted.
@@ -111,6 +117,7 @@
         parser_;
     std::optional<boost::asio::steady_timer> idle_timer_;
     boost::beast::http::response<boost::beast::http::string_body> response_;
+    bool is_open_ = true;
     bool keep_alive_ = true;
     bool busy_ = false;
     bool answered_ = false;
--- a/src/mustardwick/aio/http_listener_session.cpp
+++ b/src/mustardwick/aio/http_listener_session.cpp
@@ -93,7 +93,7 @@
                                 [self = shared_from_this()](error_code ec)
                                 {
                                     if (ec)
-                                        return self->close();
+                                        return self->end();
                                     self->read_request();
                                 });
     arm_idle_timer();
@@ -107,8 +107,23 @@
     return !busy_ && !is_new && stream_.socket().available(ec) == 0;
 }
 
-void http_listener::impl::session::close()
+void http_listener::impl::session::close(std::string_view cause)
 {
+    if (!is_open_)
+        return;
+    error_code ec;
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(steady::now() - accepted_);
+    const auto unread = stream_.socket().available(ec);
+    owner_->guard.closed(
+        "listener", {cause, age, (ec ? 0 : unread) + buffer_.size(), busy_});
+    end();
+}
+
+void http_listener::impl::session::end()
+{
+    is_open_ = false;
+    busy_ = false;
     owner_->guard.remove(guard_id_);
     idle_timer_.reset();
     error_code ignored;
@@ -125,7 +140,7 @@
         {
             const auto self = weak.lock();
             if (!ec && self && !self->busy_)
-                self->close();
+                self->close("idle");
         });
 }
 
@@ -177,8 +192,10 @@
 
 void http_listener::impl::session::reject(error_code ec)
 {
+    if (ec == beast::error::timeout)
+        return close("request timeout");
     if (is_connection_lost(ec))
-        return close();
+        return end();
     const auto [status, cause] = refusal_of(ec);
     owner_->guard.refused("listener", cause);
     refuse(status, std::nullopt);
@@ -269,9 +286,13 @@
 void http_listener::impl::session::written(error_code ec, bool last)
 {
     --owner_->open_requests;
+    if (ec == beast::error::timeout)
+        return close("answer timeout");
     busy_ = false;
-    if (ec || last)
-        return close();
+    if (ec)
+        return end();
+    if (last)
+        return close(owner_->draining ? "stopping" : "last answer");
     if (buffer_.size() > 0)
     {
         prepare_parser();
