Serve a request that has arrived when the idle timeout ends

Callers saw a connection end without an answer: they sent a request on a kept connection just as its idle timeout ended. The handler of the timeout closed every session without a request in progress and did not look into the socket. When the event loop was held up between the look for input and the handler of the timer, the request had arrived and was discarded.

Evidence: http_listener.serves_a_request_that_arrives_as_the_idle_timeout_ends printed before the fix: kept connection: "", End of file, and the listener logged connection_closed cause=idle unread_bytes=27. A loop that is held up before it looks for input is not enough: input is handled before timers that are found due in the same pass.

The timeout now leaves a socket with unread bytes alone, since the wait for them is about to end, with header_timeout from there. The timeout that was set on the stream beside it never acted, as the wait does not pass through the stream; it is removed.

--- /dev/null
+++ b/src/mustardwick/aio/http_listener_close_test.cpp
@@ -0,0 +1,146 @@
+#include "mustardwick/aio/http_listener.hpp"
+
+#include <optional>
+#include <string>
+#include <thread>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+#include "mustardwick/base/log.hpp"
+
+using namespace mustardwick;
+using namespace mustardwick::aio;
+namespace asio = boost::asio;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A listener on its own event loop, and what it counts.
+struct fixture
+{
+    fixture(std::uint16_t port, const listener_limits& limits)
+        : where(asio::ip::make_address("127.0.0.1"), port),
+          server(io, {"127.0.0.1", port}, "Deadline-Ms", guard,
+                 [](const auto&, const auto& respond)
+                 {
+                     respond({200, "{}", "application/json", {}});
+                 })
+    {
+        base::set_up_log("test", base::log_level::warning);
+        server.set_limits(limits);
+        cr_assert(server.start());
+    }
+
+    asio::ip::tcp::socket connect()
+    {
+        asio::ip::tcp::socket out(client_io);
+        out.connect(where);
+        out.set_option(asio::ip::tcp::no_delay(true));
+        return out;
+    }
+
+    void run_for(milliseconds time)
+    {
+        io.restart();
+        io.run_for(time);
+    }
+
+    /// Returns what the connection receives until an answer is complete or the
+    /// connection ends; ec is would_block while it is open.
+    std::string received(asio::ip::tcp::socket& socket, error_code& ec)
+    {
+        std::string out;
+        socket.non_blocking(true);
+        for (int n = 0; n < max_waits && !out.ends_with("{}"); ++n)
+        {
+            run_for(milliseconds(5));
+            asio::read(socket, asio::dynamic_buffer(out), ec);
+            if (ec != asio::error::would_block)
+                break;
+        }
+        socket.non_blocking(false);
+        return out;
+    }
+
+    /// Sends a request and returns the start of the status line of its answer.
+    std::string exchange(asio::ip::tcp::socket& socket)
+    {
+        error_code ec;
+        asio::write(socket, asio::buffer(request));
+        return received(socket, ec).substr(0, status_size);
+    }
+
+    static constexpr int max_waits = 200;
+    /// Length of "HTTP/1.1 200".
+    static constexpr std::size_t status_size = 12;
+
+    base::system_clock clock;
+    base::metrics metrics;
+    connection_guard guard{clock, metrics, 64U << 20U};
+    asio::io_context io;
+    asio::io_context client_io;
+    asio::ip::tcp::endpoint where;
+    http_listener server;
+};
+
+} // namespace
+
+struct idle_case
+{
+    const char* name;
+    /// Requests that were answered on the connection before.
+    int earlier;
+    /// What arrives before the handler of the idle timeout runs, and after.
+    std::string before;
+    std::string after;
+    std::uint16_t port;
+};
+
+// Guards against an idle timeout that closes a connection on which a request
+// has arrived, while the event loop was held up.
+Test(http_listener, serves_a_request_that_arrives_as_the_idle_timeout_ends)
+{
+    const idle_case cases[] = {
+        {"kept connection", 1, request, "", 18'821},
+        {"new connection", 0, request, "", 18'822},
+        {"part of a request", 1, request.substr(0, 9), request.substr(9),
+         18'823},
+    };
+    for (const auto& it : cases)
+    {
+        listener_limits limits;
+        limits.idle_timeout = milliseconds(100);
+        fixture test(it.port, limits);
+        auto client = test.connect();
+        test.run_for(milliseconds(10));
+        for (int n = 0; n < it.earlier; ++n)
+            cr_assert_eq(test.exchange(client), "HTTP/1.1 200", "%s", it.name);
+        // Both handlers are due when the loop gets to its timers, and the
+        // request arrives after it has looked for input.
+        asio::steady_timer delayed(test.io, milliseconds(40));
+        delayed.async_wait(
+            [&](error_code)
+            {
+                asio::write(client, asio::buffer(it.before));
+            });
+        std::this_thread::sleep_for(milliseconds(150));
+        test.run_for(milliseconds(20));
+        error_code ec;
+        asio::write(client, asio::buffer(it.after), ec);
+        const auto text = test.received(client, ec);
+        cr_assert_eq(text.substr(0, fixture::status_size), "HTTP/1.1 200",
+                     "%s: \"%s\", %s", it.name, text.c_str(),
+                     ec.message().c_str());
+        test.received(client, ec);
+        cr_assert_eq(ec, asio::error::eof, "%s", it.name);
+        cr_assert_eq(test.metrics.count("mustardwick_closed_idle_total"), 1);
+    }
+}
--- a/src/mustardwick/aio/http_listener_impl.hpp
+++ b/src/mustardwick/aio/http_listener_impl.hpp
@@ -86,6 +86,8 @@
     void close(std::string_view cause);
 
 private:
+    /// Returns whether bytes have arrived that no read has taken.
+    bool has_unread_bytes();
     void arm_idle_timer();
     /// Ends the session, without a report.
     void end();
--- a/src/mustardwick/aio/http_listener_session.cpp
+++ b/src/mustardwick/aio/http_listener_session.cpp
@@ -86,7 +86,6 @@
     busy_ = false;
     idle_since_ = steady::now();
     prepare_parser();
-    stream_.expires_after(owner_->limits.idle_timeout);
     // header_timeout limits the time from the first byte of a request to
     // its end. Until that byte, idle_timeout applies.
     stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
@@ -101,10 +100,15 @@
 
 bool http_listener::impl::session::is_idle()
 {
-    error_code ec;
     const bool is_new =
         !served_ && steady::now() - accepted_ < first_request_delay;
-    return !busy_ && !is_new && stream_.socket().available(ec) == 0;
+    return !busy_ && !is_new && !has_unread_bytes();
+}
+
+bool http_listener::impl::session::has_unread_bytes()
+{
+    error_code ec;
+    return stream_.socket().available(ec) > 0;
 }
 
 void http_listener::impl::session::close(std::string_view cause)
@@ -139,7 +143,8 @@
         [weak = weak_from_this()](error_code ec)
         {
             const auto self = weak.lock();
-            if (!ec && self && !self->busy_)
+            // With bytes in the socket, the wait for them is about to end.
+            if (!ec && self && !self->busy_ && !self->has_unread_bytes())
                 self->close("idle");
         });
 }
