Deliver a last answer before the connection is closed

Callers that were still sending when the listener answered and closed got "broken pipe" or a reset in place of the answer: a body that is too large (413), a malformed request (400), a request that was shed (503), and requests behind the last answer of a planned stop. A socket that is closed with unread bytes resets the connection.

Evidence: http_listener.delivers_the_last_answer_before_it_closes; each row alone printed before the fix: sending byte 10000: Broken pipe. On this system an answer that was already received can still be read after the reset, so that callers that read behind a failed write were not affected here; a lost answer was not shown.

The listener now closes its side, discards what arrives for up to a second and 1 MiB, as src/mustardwick/http/session.hpp does, and ends then. It does so only behind a refusal or with unread bytes, so that an ordinary last answer closes at once. Such connections count for the limit and make way first.

--- a/src/mustardwick/aio/http_listener.cpp
+++ b/src/mustardwick/aio/http_listener.cpp
@@ -24,7 +24,7 @@
         if (!it->is_busy() &&
             (!longest || it->idle_since() < longest->idle_since()))
             longest = it;
-    if (!longest || !longest->is_idle())
+    if (!longest || !(longest->is_discarding() || longest->is_idle()))
         return false;
     longest->close("displaced");
     return true;
--- a/src/mustardwick/aio/http_listener_close_test.cpp
+++ b/src/mustardwick/aio/http_listener_close_test.cpp
@@ -144,3 +144,55 @@
         cr_assert_eq(test.metrics.count("mustardwick_closed_idle_total"), 1);
     }
 }
+
+struct last_answer_case
+{
+    const char* name;
+    std::string head;
+    /// Bytes that the caller sends after the head, before it reads.
+    std::size_t more;
+    bool draining;
+    const char* status;
+    std::uint16_t port;
+};
+
+// Guards against a last answer that the caller does not get, because a socket
+// that is closed with unread bytes resets the connection.
+Test(http_listener, delivers_the_last_answer_before_it_closes)
+{
+    const last_answer_case cases[] = {
+        {"body too large",
+         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n",
+         500'000, false, "HTTP/1.1 413", 18'826},
+        {"malformed", "GET /\r\nHost: h\r\n\r\n", 100'000, false,
+         "HTTP/1.1 400", 18'827},
+        {"requests behind the last answer", request + request, 30'000, true,
+         "HTTP/1.1 200", 18'828},
+    };
+    for (const auto& it : cases)
+    {
+        fixture test(it.port, {});
+        auto client = test.connect();
+        if (it.draining)
+            test.server.begin_drain();
+        asio::write(client, asio::buffer(it.head));
+        // The listener answers and closes; the caller is still sending.
+        test.run_for(milliseconds(100));
+        const std::string part(10'000, 'a');
+        error_code ec;
+        for (std::size_t n = 0; n < it.more && !ec; n += part.size())
+        {
+            asio::write(client, asio::buffer(part), ec);
+            cr_assert(!ec, "%s: sending byte %zu: %s", it.name, n,
+                      ec.message().c_str());
+            test.run_for(milliseconds(1));
+        }
+        const auto text = test.received(client, ec);
+        cr_assert_eq(text.substr(0, fixture::status_size), it.status,
+                     "%s: %s, %s", it.name, text.c_str(), ec.message().c_str());
+        client.close();
+        test.run_for(milliseconds(50));
+        test.server.close_idle();
+        cr_assert(test.server.is_closed(), "%s", it.name);
+    }
+}
--- a/src/mustardwick/aio/http_listener_impl.hpp
+++ b/src/mustardwick/aio/http_listener_impl.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -53,6 +54,8 @@
     std::set<std::shared_ptr<session>> sessions;
     std::size_t open_requests = 0;
     bool draining = false;
+    /// Takes the input that sessions discard.
+    std::array<char, 4096> discarded{};
 };
 
 /// A connection of a caller, which reads and answers one request at a time.
@@ -78,6 +81,13 @@
         return idle_since_;
     }
 
+    /// Returns whether the last answer was sent, and only input that is
+    /// discarded can arrive.
+    bool is_discarding() const
+    {
+        return is_discarding_;
+    }
+
     /// Returns whether no request is in progress, in the socket's buffer, or
     /// about to arrive on a new connection.
     bool is_idle();
@@ -89,6 +99,12 @@
     /// Returns whether bytes have arrived that no read has taken.
     bool has_unread_bytes();
     void arm_idle_timer();
+    void report(std::string_view cause);
+    /// Closes the connection when its caller has sent everything. Closing a
+    /// socket with unread input resets the connection, and the reset can reach
+    /// the caller before the answer.
+    void close_behind_answer();
+    void discard(std::size_t left);
     /// Ends the session, without a report.
     void end();
     void prepare_parser();
@@ -120,6 +136,9 @@
     std::optional<boost::asio::steady_timer> idle_timer_;
     boost::beast::http::response<boost::beast::http::string_body> response_;
     bool is_open_ = true;
+    bool is_discarding_ = false;
+    /// The request was answered before it was received in full.
+    bool is_refused_ = false;
     bool keep_alive_ = true;
     bool busy_ = false;
     bool answered_ = false;
--- a/src/mustardwick/aio/http_listener_session.cpp
+++ b/src/mustardwick/aio/http_listener_session.cpp
@@ -26,6 +26,9 @@
 /// such as chunk extensions and trailers.
 constexpr std::size_t read_ahead_bytes = 16U << 10U;
 constexpr milliseconds shed_retry_after{1000};
+/// Limits on the input that is discarded behind a last answer.
+constexpr milliseconds discard_time{1000};
+constexpr std::size_t max_discarded_bytes = 1U << 20U;
 
 std::string text_of(boost::beast::string_view text)
 {
@@ -102,7 +105,7 @@
 {
     const bool is_new =
         !served_ && steady::now() - accepted_ < first_request_delay;
-    return !busy_ && !is_new && !has_unread_bytes();
+    return !busy_ && !is_discarding_ && !is_new && !has_unread_bytes();
 }
 
 bool http_listener::impl::session::has_unread_bytes()
@@ -115,13 +118,19 @@
 {
     if (!is_open_)
         return;
+    if (!is_discarding_)
+        report(cause);
+    end();
+}
+
+void http_listener::impl::session::report(std::string_view cause)
+{
     error_code ec;
     const auto age =
         std::chrono::duration_cast<milliseconds>(steady::now() - accepted_);
     const auto unread = stream_.socket().available(ec);
     owner_->guard.closed(
         "listener", {cause, age, (ec ? 0 : unread) + buffer_.size(), busy_});
-    end();
 }
 
 void http_listener::impl::session::end()
@@ -213,6 +222,7 @@
     buffer_.clear();
     buffer_.shrink_to_fit();
     keep_alive_ = false;
+    is_refused_ = true;
     ++owner_->open_requests;
     answered_ = false;
     answer({status, "{}", "application/json", retry_after});
@@ -297,7 +307,7 @@
     if (ec)
         return end();
     if (last)
-        return close(owner_->draining ? "stopping" : "last answer");
+        return close_behind_answer();
     if (buffer_.size() > 0)
     {
         prepare_parser();
@@ -306,4 +316,39 @@
     wait_for_request();
 }
 
+void http_listener::impl::session::close_behind_answer()
+{
+    if (!is_refused_)
+        report(owner_->draining ? "stopping" : "last answer");
+    if (!is_refused_ && buffer_.size() == 0 && !has_unread_bytes())
+        return end();
+    is_discarding_ = true;
+    idle_since_ = steady::time_point::min();
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+    error_code ignored;
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    idle_timer_.emplace(owner_->io, discard_time);
+    idle_timer_->async_wait(
+        [weak = weak_from_this()](error_code ec)
+        {
+            const auto self = weak.lock();
+            if (!ec && self)
+                self->end();
+        });
+    discard(max_discarded_bytes);
+}
+
+void http_listener::impl::session::discard(std::size_t left)
+{
+    stream_.socket().async_read_some(
+        asio::buffer(owner_->discarded),
+        [self = shared_from_this(), left](error_code ec, std::size_t n)
+        {
+            if (ec || n >= left)
+                return self->end();
+            self->discard(left - n);
+        });
+}
+
 } // namespace mustardwick::aio
