Let any of the longest idle connections make way for a new one

With all places taken, a caller with a new connection was turned away without an answer although idle connections were there: the listener asked only the one that was idle for longest, and gave up when a request had arrived on it.

Evidence: http_listener.lets_an_idle_connection_make_way_beside_one_with_a_request failed on the new connection's answer before the fix (nothing was received). That a connection with an arrived request is displaced was not shown: its socket is asked in the same handler that closes it.

The listener now asks up to eight connections, the longest idle first.

--- a/src/mustardwick/aio/http_listener.cpp
+++ b/src/mustardwick/aio/http_listener.cpp
@@ -1,5 +1,8 @@
 #include "http_listener_impl.hpp"
 
+#include <algorithm>
+#include <vector>
+
 #include "mustardwick/aio/acceptor.hpp"
 #include "mustardwick/aio/socket_options.hpp"
 
@@ -13,20 +16,35 @@
 using boost::system::error_code;
 using std::chrono::milliseconds;
 
+/// Connections whose sockets are asked for unread bytes when a new one needs a
+/// place. All of a crowd would cost a system call each.
+constexpr std::size_t max_asked_connections = 8;
+
 } // namespace
 
 bool http_listener::impl::close_longest_idle()
 {
-    // The socket is asked only of one connection: a crowd of them would cost a
-    // system call for each connection that another client opens.
-    std::shared_ptr<session> longest;
+    std::vector<std::shared_ptr<session>> waiting;
     for (const auto& it : sessions)
-        if (!it->is_busy() &&
-            (!longest || it->idle_since() < longest->idle_since()))
-            longest = it;
-    if (!longest || !(longest->is_discarding() || longest->is_idle()))
+        if (!it->is_busy())
+            waiting.push_back(it);
+    const auto asked = std::min(waiting.size(), max_asked_connections);
+    std::partial_sort(waiting.begin(), waiting.begin() + std::ptrdiff_t(asked),
+                      waiting.end(),
+                      [](const auto& left, const auto& right)
+                      {
+                          return left->idle_since() < right->idle_since();
+                      });
+    waiting.resize(asked);
+    const auto longest =
+        std::find_if(waiting.begin(), waiting.end(),
+                     [](const auto& it)
+                     {
+                         return it->is_discarding() || it->is_idle();
+                     });
+    if (longest == waiting.end())
         return false;
-    longest->close("displaced");
+    (*longest)->close("displaced");
     return true;
 }
 
--- a/src/mustardwick/aio/http_listener_close_test.cpp
+++ b/src/mustardwick/aio/http_listener_close_test.cpp
@@ -196,3 +196,27 @@
         cr_assert(test.server.is_closed(), "%s", it.name);
     }
 }
+
+// Guards against a new connection that is closed without an answer although
+// idle connections could make way for it: only the one that is idle for longest
+// has a request waiting.
+Test(http_listener, lets_an_idle_connection_make_way_beside_one_with_a_request)
+{
+    listener_limits limits;
+    limits.max_connections = 2;
+    fixture test(18'831, limits);
+    auto oldest = test.connect();
+    cr_assert_eq(test.exchange(oldest), "HTTP/1.1 200");
+    auto idle = test.connect();
+    cr_assert_eq(test.exchange(idle), "HTTP/1.1 200");
+    // The listener accepts the connection before it reads the request.
+    auto added = test.connect();
+    asio::write(oldest, asio::buffer(request));
+    error_code ec;
+    cr_assert_eq(test.exchange(added), "HTTP/1.1 200");
+    cr_assert_eq(test.received(oldest, ec).substr(0, fixture::status_size),
+                 "HTTP/1.1 200");
+    test.received(idle, ec);
+    cr_assert_eq(ec, asio::error::eof);
+    cr_assert_eq(test.metrics.count("mustardwick_closed_displaced_total"), 1);
+}
