--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -53,7 +53,8 @@
                 leadership_lost_handler lost);
 
     void start(const operator_state& state);
-    /// @brief Stops all activity without calling the leadership_lost_handler.
+    /// @brief Stops all activity without calling the leadership_lost_handler,
+    /// and answers open calls as unknown.
     void stop();
     void configure(const operator_state& state);
     void member_joined(const member_record& record);
@@ -113,6 +114,7 @@
     /// @brief Measures how well this host leads now.
     double own_suitability(const policy::leader_needs& needs);
     void report_status();
+    void end_activity();
     void step_down(std::string_view reason,
                    std::optional<member_record> successor);
     bool has_authority();
@@ -125,6 +127,10 @@
     /// leads now.
     void when_confirmed(std::function<void()> then);
     void run_confirmed();
+    /// @brief Logs calls that have waited for long.
+    void report_waiting_calls() const;
+    /// @brief Answers all open calls as unknown and returns their number.
+    std::size_t abandon_calls(std::string_view reason);
     /// Returns how long rejected callers should wait before they retry;
     /// std::nullopt while the store is considered available.
     std::optional<std::chrono::milliseconds> store_retry_after() const;
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -134,6 +134,12 @@
 }
 
 void cell_leader::stop()
+{
+    end_activity();
+    abandon_calls("the daemon stops");
+}
+
+void cell_leader::end_activity()
 {
     stopped_ = true;
     log_->stop();
@@ -362,6 +368,7 @@
                          ? base::steady_time::duration(0)
                          : now - next_status_;
     next_status_ = now + status_interval;
+    report_waiting_calls();
     const auto& round = planner_.last_round();
     log_event(
         log_level::info, "leader", "status",
@@ -397,8 +404,8 @@
 {
     if (stopped_)
         return;
-    stop();
-    const auto abandoned = calls_.abandon();
+    end_activity();
+    const auto abandoned = abandon_calls(reason);
     log_event(log_level::warning, "leader", "leadership_lost",
               {{"epoch", head_.epoch},
                {"reason", reason},
--- a/src/mustardwick/entry/cell_leader_calls.cpp
+++ b/src/mustardwick/entry/cell_leader_calls.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 
+#include "mustardwick/base/log.hpp"
 #include "mustardwick/wire/codec.hpp"
 
 namespace mustardwick::entry
@@ -11,6 +12,8 @@
 namespace
 {
 
+using base::log_event;
+using base::log_level;
 using std::chrono::milliseconds;
 
 /// New jobs are rejected once transactions have failed for this long; a single
@@ -21,6 +24,14 @@
 constexpr milliseconds min_retry_after{1000};
 constexpr milliseconds max_retry_after{4000};
 
+/// Calls that wait longer are reported; a transaction of a slow store takes
+/// less.
+constexpr milliseconds reported_wait{1000};
+
+constexpr std::string_view submit_call = "submit";
+constexpr std::string_view query_call = "query";
+constexpr std::string_view cancel_call = "cancel";
+
 std::string answer(const job_reply& reply)
 {
     return wire::encode(reply);
@@ -51,7 +62,7 @@
     auto job = wire::decode<jobs::job>(payload);
     if (!job)
         return false;
-    const auto tracked = calls_.track(respond);
+    const auto tracked = calls_.track(submit_call, env_.clock.now(), respond);
     if (!planner_.state_of(job->id))
         if (const auto retry_after = planner_.refuse_surplus(*job))
         {
@@ -105,13 +116,43 @@
     const auto call = wire::decode<job_query>(payload);
     if (!call)
         return false;
+    const auto now = env_.clock.now();
     if (type == message_type::cancel_job)
-        cancel(call->id, calls_.track(respond), false);
+        cancel(call->id, calls_.track(cancel_call, now, respond), false);
     else
-        query(call->id, calls_.track(respond), false);
+        query(call->id, calls_.track(query_call, now, respond), false);
     return true;
 }
 
+void cell_leader::report_waiting_calls() const
+{
+    const auto now = env_.clock.now();
+    const auto open = calls_.summary(now);
+    if (open.oldest < reported_wait)
+        return;
+    const auto failing = now - log_->failing_since().value_or(now);
+    log_event(log_level::warning, "leader", "calls_waiting",
+              {{"calls", open.total},
+               {"kinds", open.kinds()},
+               {"oldest_ms", open.oldest.count()},
+               {"unconfirmed", unconfirmed_.size()},
+               {"store_failing_ms",
+                std::chrono::duration_cast<milliseconds>(failing).count()}});
+}
+
+std::size_t cell_leader::abandon_calls(std::string_view reason)
+{
+    const auto open = calls_.abandon(env_.clock.now());
+    if (open.total > 0)
+        log_event(log_level::warning, "leader", "calls_abandoned",
+                  {{"reason", reason},
+                   {"calls", open.total},
+                   {"kinds", open.kinds()},
+                   {"oldest_ms", open.oldest.count()},
+                   {"unconfirmed", unconfirmed_.size()}});
+    return open.total;
+}
+
 void cell_leader::query(const std::string& id,
                         const aio::peer_responder& respond, bool is_confirmed)
 {
--- a/src/mustardwick/entry/open_calls_test.cpp
+++ b/src/mustardwick/entry/open_calls_test.cpp
@@ -1,5 +1,6 @@
 #include "mustardwick/entry/open_calls.hpp"
 
+#include <chrono>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -17,10 +18,11 @@
     {
         answers.push_back(std::move(answer));
     };
-    const auto answered = calls.track(respond);
-    const auto pending = calls.track(respond);
+    const base::steady_time begin{std::chrono::seconds(1)};
+    const auto answered = calls.track("query", begin, respond);
+    const auto pending = calls.track("query", begin, respond);
     answered("state");
-    cr_assert_eq(calls.abandon(), 1);
+    cr_assert_eq(calls.abandon(begin).total, 1);
     cr_assert_eq(answers.size(), 2);
     cr_assert_eq(answers[0], "state");
     cr_assert(answers[1].empty());
@@ -28,5 +30,23 @@
     pending("late");
     answered("again");
     cr_assert_eq(answers.size(), 2);
-    cr_assert_eq(calls.abandon(), 0);
+    cr_assert_eq(calls.abandon(begin).total, 0);
+}
+
+// Guards against calls without an answer of which the log names neither the
+// kind nor the time that they waited (issue 37).
+Test(open_calls, are_counted_by_kind)
+{
+    using std::chrono::milliseconds;
+    open_calls calls;
+    const base::steady_time begin{milliseconds(1000)};
+    const auto ignore = [](const std::string&) {};
+    calls.track("query", begin, ignore);
+    calls.track("submit", begin - milliseconds(300), ignore);
+    calls.track("query", begin, ignore);
+    calls.track("cancel", begin - milliseconds(900), ignore)("answer");
+    const auto open = calls.summary(begin + milliseconds(100));
+    cr_assert_eq(open.total, 3);
+    cr_assert_eq(open.kinds(), "query x2, submit x1");
+    cr_assert_eq(open.oldest, milliseconds(400));
 }
