--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -124,11 +124,13 @@
     void cancel(const std::string& id, const aio::peer_responder& respond,
                 bool is_confirmed);
     /// @brief Calls a function once the store has confirmed that this daemon
-    /// leads now.
-    void when_confirmed(std::function<void()> then);
+    /// leads now. While the store fails, the caller is told to retry instead.
+    void when_confirmed(const aio::peer_responder& respond,
+                        std::function<void()> then);
+    void refuse_unconfirmed();
     void run_confirmed();
-    /// @brief Logs calls that have waited for long.
-    void report_waiting_calls() const;
+    /// @brief Logs calls that have waited for long or were not confirmed.
+    void report_waiting_calls();
     /// @brief Answers all open calls as unknown and returns their number.
     std::size_t abandon_calls(std::string_view reason);
     /// Returns how long rejected callers should wait before they retry;
@@ -160,9 +162,14 @@
     struct unconfirmed_call
     {
         base::steady_time since;
+        aio::peer_responder respond;
         std::function<void()> then;
     };
     std::vector<unconfirmed_call> unconfirmed_;
+    /// Calls that were not confirmed since the last report, and the longest
+    /// time that one waited.
+    std::size_t refused_unconfirmed_ = 0;
+    base::steady_time::duration longest_unconfirmed_{0};
     /// Member that takes over after a release.
     std::optional<member_record> successor_;
     stored_jobs stored_;
--- a/include/mustardwick/entry/messages.hpp
+++ b/include/mustardwick/entry/messages.hpp
@@ -151,7 +151,9 @@
     done,
     /// The job is unknown.
     unknown_job,
-    /// The daemon is not the leader, or has not loaded the state yet.
+    /// The daemon is not the leader, or has not loaded the state yet. With a
+    /// time to retry after, it leads, but the store does not confirm that the
+    /// job is unknown; gateways of earlier releases ask again at once.
     not_leader,
     /// The store is unavailable to the leader; the job was not accepted and
     /// never runs.
@@ -192,6 +194,12 @@
     /// Milliseconds after which a rejected caller should retry.
     std::int64_t retry_after_ms = 0;
 
+    /// @brief Returns whether another leader may answer the call at once.
+    bool should_ask_again() const
+    {
+        return status == reply_status::not_leader && retry_after_ms == 0;
+    }
+
     template <typename Archive>
     void serialize(Archive& ar)
     {
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -300,6 +300,7 @@
     report_status();
     if (store_retry_after())
         planner_.reject_unsent_jobs();
+    refuse_unconfirmed();
     const auto failing = log_->failing_since();
     heartbeats_->set_store_failing(failing.has_value());
     const auto timeout = log_->is_unresponsive()
--- a/src/mustardwick/entry/cell_leader_calls.cpp
+++ b/src/mustardwick/entry/cell_leader_calls.cpp
@@ -124,8 +124,14 @@
     return true;
 }
 
-void cell_leader::report_waiting_calls() const
+void cell_leader::report_waiting_calls()
 {
+    if (const auto n = std::exchange(refused_unconfirmed_, 0))
+        log_event(log_level::warning, "leader", "calls_not_confirmed",
+                  {{"calls", n},
+                   {"oldest_ms", std::chrono::duration_cast<milliseconds>(
+                                     std::exchange(longest_unconfirmed_, {}))
+                                     .count()}});
     const auto now = env_.clock.now();
     const auto open = calls_.summary(now);
     if (open.oldest < reported_wait)
@@ -158,11 +164,11 @@
 {
     const auto state = planner_.state_of(id);
     if (!state && !is_confirmed)
-        return when_confirmed(
-            [this, id, respond]
-            {
-                query(id, respond, true);
-            });
+        return when_confirmed(respond,
+                              [this, id, respond]
+                              {
+                                  query(id, respond, true);
+                              });
     job_reply out{state ? reply_status::done : reply_status::unknown_job};
     out.state = state.value_or(jobs::job_state::queued);
     respond(answer(out));
@@ -177,23 +183,41 @@
         {
             const bool known = result == dispatch::cancel_result::cancelled;
             if (!known && !is_confirmed)
-                return when_confirmed(
-                    [this, id, respond]
-                    {
-                        cancel(id, respond, true);
-                    });
+                return when_confirmed(respond,
+                                      [this, id, respond]
+                                      {
+                                          cancel(id, respond, true);
+                                      });
             respond(answer(
                 {known ? reply_status::done : reply_status::unknown_job}));
         });
     schedule_work();
 }
 
-void cell_leader::when_confirmed(std::function<void()> then)
+void cell_leader::when_confirmed(const aio::peer_responder& respond,
+                                 std::function<void()> then)
 {
-    unconfirmed_.push_back({env_.clock.now(), std::move(then)});
+    unconfirmed_.push_back({env_.clock.now(), respond, std::move(then)});
+    refuse_unconfirmed();
     schedule_work();
 }
 
+void cell_leader::refuse_unconfirmed()
+{
+    const auto retry_after = store_retry_after();
+    if (!retry_after)
+        return;
+    job_reply out{reply_status::not_leader};
+    out.retry_after_ms = retry_after->count();
+    const auto now = env_.clock.now();
+    for (const auto& it : std::exchange(unconfirmed_, {}))
+    {
+        ++refused_unconfirmed_;
+        longest_unconfirmed_ = std::max(longest_unconfirmed_, now - it.since);
+        it.respond(answer(out));
+    }
+}
+
 void cell_leader::run_confirmed()
 {
     const auto confirmed = log_->confirmed();
--- a/src/mustardwick/entry/entry_node_calls.cpp
+++ b/src/mustardwick/entry/entry_node_calls.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view leader_unknown = "leader unknown";
 constexpr std::string_view not_serving = "not serving as leader";
 constexpr std::string_view leadership_ended = "leadership ended";
+constexpr std::string_view not_confirmed = "not confirmed by the store";
 
 } // namespace
 
@@ -51,6 +52,15 @@
         type, payload, deadline, std::move(done), call_trace(clock.now())}));
 }
 
+void entry_node::impl::answered(leader_attempt& call, const job_reply& reply)
+{
+    availability.call_succeeded();
+    if (reply.status == reply_status::not_leader)
+        call.trace.failed(not_confirmed, known_leader.name, known_leader.epoch,
+                          clock.now());
+    call.done({reply, true, call.trace});
+}
+
 void entry_node::impl::give_up(const leader_attempt& call)
 {
     call.done({std::nullopt, call.maybe_sent, call.trace});
@@ -113,8 +123,7 @@
         call->maybe_sent = true;
         if (!reply)
             return retry_leader(call, leadership_ended);
-        availability.call_succeeded();
-        call->done({reply, true, call->trace});
+        answered(*call, *reply);
     };
     if (!leader->handle(call->type, call->payload, respond))
         return retry_leader(call, not_serving);
@@ -136,11 +145,8 @@
     std::optional<job_reply> reply;
     if (result.answered())
         reply = wire::decode<job_reply>(result.payload);
-    if (reply && reply->status != reply_status::not_leader)
-    {
-        availability.call_succeeded();
-        return call->done({reply, true, call->trace});
-    }
+    if (reply && !reply->should_ask_again())
+        return answered(*call, *reply);
     if (result.connection_refused() && epoch == known_leader.epoch && !leader)
         candidate->leader_connection_refused(epoch);
     if (!reply && !result.connection_refused())
--- a/src/mustardwick/entry/entry_node_impl.hpp
+++ b/src/mustardwick/entry/entry_node_impl.hpp
@@ -70,6 +70,7 @@
                          std::int64_t epoch, const aio::peer_result& result);
     void retry_leader(const std::shared_ptr<leader_attempt>& call,
                       std::string_view outcome);
+    void answered(leader_attempt& call, const job_reply& reply);
     void give_up(const leader_attempt& call);
     void configuration_changed(const operator_state& state);
     bool is_ready() const;
--- a/src/mustardwick/entry/gateway.cpp
+++ b/src/mustardwick/entry/gateway.cpp
@@ -69,6 +69,17 @@
     return {};
 }
 
+/// Returns when to retry a call about a job that no leader could answer;
+/// std::nullopt when one did.
+std::optional<milliseconds> retry_time(const leader_result& result)
+{
+    if (!result.reply)
+        return failover_retry_after;
+    if (result.reply->status == reply_status::not_leader)
+        return milliseconds(result.reply->retry_after_ms);
+    return std::nullopt;
+}
+
 bool is_job_id(std::string_view text)
 {
     return text.size() == job_id_digits &&
@@ -254,10 +265,10 @@
           context.deadline,
           [this, context](const leader_result& result)
           {
-              if (!result.reply)
+              if (const auto retry_after = retry_time(result))
               {
                   log_unanswered(context, "query_unanswered", result);
-                  return context.respond(retry_later(failover_retry_after));
+                  return context.respond(retry_later(*retry_after));
               }
               if (result.reply->status == reply_status::unknown_job)
                   return context.respond(json_response(gone));
@@ -272,10 +283,10 @@
           context.deadline,
           [this, context](const leader_result& result)
           {
-              if (!result.reply)
+              if (const auto retry_after = retry_time(result))
               {
                   log_unanswered(context, "cancel_unanswered", result);
-                  return context.respond(retry_later(failover_retry_after));
+                  return context.respond(retry_later(*retry_after));
               }
               const bool known =
                   result.reply->status != reply_status::unknown_job;
--- a/src/mustardwick/entry/gateway_test.cpp
+++ b/src/mustardwick/entry/gateway_test.cpp
@@ -8,6 +8,7 @@
 
 using namespace mustardwick;
 using namespace mustardwick::entry;
+using std::chrono::milliseconds;
 
 namespace
 {
@@ -89,3 +90,58 @@
         cr_assert_eq(explains, it.status != 200);
     }
 }
+
+struct query_case
+{
+    std::string method;
+    std::optional<job_reply> reply;
+    int status;
+    int retry_after_ms;
+};
+
+// Guards against 410 or 200 for a job of which the leader knows nothing and the
+// store does not confirm that.
+Test(gateway, answers_calls_about_a_job_as_the_leader_does)
+{
+    base::set_up_log("test", base::log_level::error);
+    constexpr auto queued = jobs::job_state::queued;
+    const job_reply known{reply_status::done};
+    const job_reply unknown{reply_status::unknown_job};
+    const job_reply unconfirmed{reply_status::not_leader, queued, 0, 1700};
+    const std::array cases = {
+        query_case{"GET", known, 200, 0},
+        query_case{"GET", unknown, 410, 0},
+        query_case{"GET", unconfirmed, 503, 1700},
+        query_case{"GET", std::nullopt, 503, 1000},
+        query_case{"DELETE", known, 200, 0},
+        query_case{"DELETE", unknown, 410, 0},
+        query_case{"DELETE", unconfirmed, 503, 1700},
+        query_case{"DELETE", std::nullopt, 503, 1000},
+    };
+    for (const auto& it : cases)
+    {
+        base::manual_clock clock;
+        base::metrics metrics;
+        const auto state = one_public_queue();
+        gateway handler(clock, metrics, state,
+                        [&](wire::message_type, const std::string&,
+                            base::steady_time, const auto& done)
+                        {
+                            done({it.reply, true});
+                        });
+        aio::incoming_request request;
+        request.method = it.method;
+        request.host = "h";
+        request.target = "/q/0123456789abcdef";
+        std::optional<aio::outgoing_response> response;
+        handler.handle(request,
+                       [&](aio::outgoing_response out)
+                       {
+                           response = std::move(out);
+                       });
+        cr_assert(response.has_value());
+        cr_assert_eq(response->status, it.status);
+        cr_assert_eq(response->retry_after.value_or(milliseconds(0)),
+                     milliseconds(it.retry_after_ms));
+    }
+}
--- a/src/mustardwick/entry/head_store_test.hpp
+++ b/src/mustardwick/entry/head_store_test.hpp
@@ -26,6 +26,8 @@
     slow,
     /// The first call is refused.
     refused_once,
+    /// Every call is refused.
+    refused,
     /// Another daemon has written the head row.
     superseded,
     /// Calls have no effect and are not answered.
@@ -48,7 +50,8 @@
         ++calls;
         if (fault == store_fault::unresponsive)
             return;
-        if (fault == store_fault::refused_once && calls == 1)
+        if (fault == store_fault::refused ||
+            (fault == store_fault::refused_once && calls == 1))
             return respond({503, "{}", "application/json", {}});
         if (request.method == "GET")
             return answer({200, head_row(), "application/json", {}}, respond);
