--- a/include/mustardwick/jobs/configuration.hpp
+++ b/include/mustardwick/jobs/configuration.hpp
@@ -57,12 +57,6 @@
 
     bool operator==(const queue&) const = default;
 
-    /// @brief Returns whether callers reach both queues in the same way.
-    bool has_address_of(const queue& other) const
-    {
-        return host_name == other.host_name && path_prefix == other.path_prefix;
-    }
-
     template <typename Archive>
     void serialize(Archive& ar)
     {
--- a/src/mustardwick/dispatch/accepted_queues.cpp
+++ b/src/mustardwick/dispatch/accepted_queues.cpp
@@ -1,6 +1,8 @@
 #include "mustardwick/dispatch/accepted_queues.hpp"
 
-#include <algorithm>
+#include <map>
+#include <string_view>
+#include <utility>
 
 namespace mustardwick::dispatch
 {
@@ -8,38 +10,52 @@
 namespace
 {
 
-const jobs::queue* find_by_address(const jobs::configuration& value,
-                                   const jobs::queue& terms)
+/// The queues of a configuration by host name and path prefix.
+class queue_index
 {
-    const auto it = std::find_if(value.queues.begin(), value.queues.end(),
-                                 [&](const auto& queue)
-                                 {
-                                     return queue.second.has_address_of(terms);
-                                 });
-    return it == value.queues.end() ? nullptr : &it->second;
-}
+public:
+    explicit queue_index(const jobs::configuration& value) : value_(value)
+    {
+        for (const auto& [name, it] : value.queues)
+            by_address_.emplace(address_of(it), &it);
+    }
 
-/// Returns the queue of a configuration that carries on a former one; null when
-/// there is none.
-const jobs::queue* find_successor(const jobs::configuration& value,
-                                  const jobs::queue& terms)
-{
-    // The tasks were submitted for this service; while it exists, only a change
-    // of the same queue may send them to another one.
-    const auto runs_tasks = [&](const jobs::queue& it)
+    /// Returns the queue that carries on a former one; null when there is none.
+    const jobs::queue* find_successor(const jobs::queue& terms) const
+    {
+        const auto same_address = by_address_.find(address_of(terms));
+        if (same_address != by_address_.end())
+        {
+            const auto* it = same_address->second;
+            if (it->name == terms.name || runs_tasks_of(*it, terms))
+                return it;
+        }
+        const auto same_name = value_.queues.find(terms.name);
+        if (same_name != value_.queues.end() &&
+            runs_tasks_of(same_name->second, terms))
+            return &same_name->second;
+        return nullptr;
+    }
+
+private:
+    using address = std::pair<std::string_view, std::string_view>;
+
+    static address address_of(const jobs::queue& it)
+    {
+        return {it.host_name, it.path_prefix};
+    }
+
+    /// The tasks were submitted for the service of the former queue; while it
+    /// exists, only a change of the same queue may send them to another one.
+    bool runs_tasks_of(const jobs::queue& it, const jobs::queue& terms) const
     {
         return it.service == terms.service ||
-               !value.services.contains(terms.service);
-    };
-    const auto* same_address = find_by_address(value, terms);
-    if (same_address != nullptr &&
-        (same_address->name == terms.name || runs_tasks(*same_address)))
-        return same_address;
-    const auto same_name = value.queues.find(terms.name);
-    if (same_name != value.queues.end() && runs_tasks(same_name->second))
-        return &same_name->second;
-    return nullptr;
-}
+               !value_.services.contains(terms.service);
+    }
+
+    const jobs::configuration& value_;
+    std::map<address, const jobs::queue*> by_address_;
+};
 
 } // namespace
 
@@ -54,9 +70,10 @@
 accepted_queues::renamed_keys
 accepted_queues::configure(const jobs::configuration& value)
 {
+    const queue_index index(value);
     for (auto& [key, it] : entries_)
     {
-        const auto* successor = find_successor(value, it.terms);
+        const auto* successor = index.find_successor(it.terms);
         it.is_configured = successor != nullptr;
         if (successor == nullptr || *successor == it.terms)
             continue;
--- a/src/mustardwick/dispatch/accepted_queues_test.cpp
+++ b/src/mustardwick/dispatch/accepted_queues_test.cpp
@@ -1,6 +1,7 @@
 #include "mustardwick/dispatch/accepted_queues.hpp"
 
 #include <array>
+#include <chrono>
 
 #include <criterion/criterion.h>
 
@@ -339,3 +340,26 @@
     cell.plan.submit(make_job("k", "r", {make_step(1, 1)}), [] {});
     cr_assert_eq(cell.plan.waiting_jobs("r"), 2);
 }
+
+// Guards against a configuration that keeps a leader busy for longer than
+// members wait for its heartbeat: each successor stalls in the same way.
+Test(accepted_queues, follow_a_large_configuration_in_time)
+{
+    constexpr int count = 20'000;
+    std::vector<jobs::queue> queues;
+    for (int it = 0; it < count; ++it)
+    {
+        const auto name = "q-" + std::to_string(it);
+        queues.push_back(queue_at(name, "/" + name + "/", "s"));
+    }
+    accepted_queues tested;
+    tested.configure(with_queues(queues));
+    queues.push_back(queue_at("one-more", "/one-more/", "s"));
+    const auto next = with_queues(queues);
+    const auto begin = std::chrono::steady_clock::now();
+    cr_assert(tested.configure(next).empty());
+    const auto took = std::chrono::steady_clock::now() - begin;
+    cr_assert(took < std::chrono::seconds(1), "%lld ms",
+              (long long)(took / std::chrono::milliseconds(1)));
+    cr_assert(tested.find("one-more") != nullptr);
+}
