--- a/include/mustardwick/aio/http_channel.hpp
+++ b/include/mustardwick/aio/http_channel.hpp
@@ -27,7 +27,9 @@
     std::chrono::milliseconds timeout{1000};
     /// When set, an answer that has begun to arrive is given up only after this
     /// time without a byte, and `timeout` ends with its first byte: how long a
-    /// large answer takes depends on the path, not on the peer.
+    /// large answer takes depends on the path, not on the peer. In the same way
+    /// `timeout` begins again whenever the path takes a part of a large
+    /// request.
     std::optional<std::chrono::milliseconds> stall_timeout;
 };
 
@@ -98,6 +100,14 @@
         return last_part_;
     }
 
+    /// @brief Returns when the path took a part of a large request last whose
+    /// rest it has not taken yet. Parts in the kernel's send buffer are not
+    /// taken.
+    std::chrono::steady_clock::time_point last_sent_part() const
+    {
+        return last_sent_part_;
+    }
+
     std::uint64_t connections_opened() const
     {
         return connections_opened_;
@@ -124,6 +134,7 @@
     std::size_t open_ = 0;
     std::uint64_t connections_opened_ = 0;
     std::chrono::steady_clock::time_point last_part_;
+    std::chrono::steady_clock::time_point last_sent_part_;
     bool closed_ = false;
 };
 
--- a/include/mustardwick/entry/state_log.hpp
+++ b/include/mustardwick/entry/state_log.hpp
@@ -32,7 +32,8 @@
 /// rewrites the head row.
 ///
 /// When an answer is late or lost, the same transaction is sent again while the
-/// first copy may still be answered. Whichever copy is executed second fails
+/// first copy may still be answered, but not while the path is still taking
+/// that copy. Whichever copy is executed second fails
 /// its condition and finds the transaction id of the first in the head row. A
 /// copy that is executed late fails the same way.
 class state_log : public std::enable_shared_from_this<state_log>
@@ -87,6 +88,7 @@
     };
 
     void send();
+    void resend_unless_answered();
     copy_kind next_copy() const;
     const durable::transaction& probe();
     void answered(const durable::store_reply& reply, base::steady_time sent,
--- a/src/mustardwick/aio/http_channel.cpp
+++ b/src/mustardwick/aio/http_channel.cpp
@@ -3,10 +3,13 @@
 #include <algorithm>
 #include <cerrno>
 #include <optional>
+#include <utility>
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -29,6 +32,18 @@
 /// extensions and trailers.
 constexpr std::size_t max_read_buffer_bytes = 64U << 10U;
 
+/// A request of this size may take longer to send than its answer to arrive.
+constexpr std::size_t large_request_bytes = 16U << 10U;
+constexpr std::chrono::milliseconds sending_check_interval{25};
+
+/// Returns the bytes in a socket's send buffer that the peer's host has not
+/// acknowledged.
+std::size_t unacknowledged_bytes(int fd)
+{
+    int n = 0;
+    return ::ioctl(fd, TIOCOUTQ, &n) == 0 && n > 0 ? std::size_t(n) : 0;
+}
+
 /// Returns whether the peer has closed an idle connection or has sent bytes
 /// outside of a call.
 bool is_stale(int fd)
@@ -46,7 +61,8 @@
 {
 public:
     connection(std::shared_ptr<http_channel> owner)
-        : owner_(std::move(owner)), stream_(owner_->io_)
+        : owner_(std::move(owner)), stream_(owner_->io_),
+          sending_timer_(owner_->io_)
     {
     }
 
@@ -123,18 +139,81 @@
 
     void write()
     {
-        stream_.expires_at(deadline_);
-        http::async_write(
-            stream_, request_,
-            [self = shared_from_this()](error_code ec, std::size_t)
+        serializer_.emplace(request_);
+        written_ = 0;
+        taken_ = 0;
+        is_overdue_ = false;
+        is_large_ = current_->call.stall_timeout &&
+                    request_.body().size() >= large_request_bytes;
+        if (is_large_)
+            check_sending_later();
+        write_part();
+    }
+
+    void write_part()
+    {
+        expect_by_deadline();
+        http::async_write_some(
+            stream_, *serializer_,
+            [self = shared_from_this()](error_code ec, std::size_t n)
             {
                 if (ec)
                     return self->finish_failed(transport_outcome::maybe_sent,
                                                ec);
-                self->read();
+                self->written_ += n;
+                if (self->serializer_->is_done())
+                    return self->read();
+                self->write_part();
+            });
+    }
+
+    /// The deadline of a large request moves while an operation is pending,
+    /// which the stream's own timer cannot follow.
+    void expect_by_deadline()
+    {
+        if (is_large_)
+            stream_.expires_never();
+        else
+            stream_.expires_at(deadline_);
+    }
+
+    void check_sending_later()
+    {
+        sending_timer_.expires_after(sending_check_interval);
+        sending_timer_.async_wait(
+            [self = shared_from_this()](error_code ec)
+            {
+                if (!ec && self->current_ && self->is_large_)
+                    self->check_sending();
             });
     }
 
+    void check_sending()
+    {
+        const auto now = steady::now();
+        const auto unsent =
+            unacknowledged_bytes(stream_.socket().native_handle());
+        const auto taken = written_ - std::min(written_, unsent);
+        const bool is_taken = serializer_->is_done() && unsent == 0;
+        if (taken > taken_)
+        {
+            taken_ = taken;
+            deadline_ = now + current_->call.timeout;
+            owner_->last_sent_part_ = is_taken ? steady::time_point() : now;
+        }
+        if (now < deadline_)
+            return check_sending_later();
+        is_overdue_ = true;
+        stream_.cancel();
+    }
+
+    void stop_checking()
+    {
+        if (std::exchange(is_large_, false))
+            owner_->last_sent_part_ = {};
+        sending_timer_.cancel();
+    }
+
     void read()
     {
         parser_.emplace();
@@ -152,6 +231,7 @@
                 if (ec)
                     return self->finish_failed(transport_outcome::maybe_sent,
                                                ec);
+                self->stop_checking();
                 if (self->parser_->is_done())
                     return self->finish_answered();
                 self->owner_->last_part_ = steady::now();
@@ -170,7 +250,8 @@
 
     void finish_failed(transport_outcome end, error_code ec)
     {
-        const bool timed_out = ec == beast::error::timeout;
+        const bool timed_out = ec == beast::error::timeout || is_overdue_;
+        stop_checking();
         error_code ignored;
         stream_.socket().close(ignored);
         auto owner = std::move(owner_);
@@ -179,6 +260,8 @@
         if (timed_out)
             owner->drop_idle();
         owner->released(shared_from_this(), false);
+        if (timed_out)
+            ec = beast::error::timeout;
         call.done({end, 0, {}, ec.message()});
     }
 
@@ -207,9 +290,18 @@
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_{max_read_buffer_bytes};
     http::request<http::string_body> request_;
+    std::optional<http::request_serializer<http::string_body>> serializer_;
     std::optional<http::response_parser<http::string_body>> parser_;
     std::optional<waiting_call> current_;
     steady::time_point deadline_;
+    asio::steady_timer sending_timer_;
+    /// Bytes of the request that the kernel has.
+    std::size_t written_ = 0;
+    /// Bytes of it that the path has taken.
+    std::size_t taken_ = 0;
+    bool is_large_ = false;
+    /// check_sending() has ended the call.
+    bool is_overdue_ = false;
 };
 
 http_channel::http_channel(asio::io_context& io, wire::endpoint peer,
--- a/src/mustardwick/aio/narrow_path_test.hpp
+++ b/src/mustardwick/aio/narrow_path_test.hpp
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <ratio>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -16,16 +18,21 @@
 namespace mustardwick::aio::test
 {
 
-/// Properties of a path from a server to its clients.
+/// Properties of a path between a server and its clients.
 struct path_limits
 {
     std::size_t bytes_per_second = 0;
     /// The path goes silent after so many bytes, without closing connections.
     std::optional<std::size_t> max_bytes;
+    /// Limit on what all clients together send to the server; 0 for none.
+    std::size_t up_bytes_per_second = 0;
+    /// The first connection goes silent after a client has sent so many bytes.
+    std::optional<std::size_t> max_up_bytes_of_first = std::nullopt;
 };
 
-/// A port whose connections lead to a server; what the server sends passes a
-/// narrow path.
+/// A port whose connections lead to a server over a narrow path. What the
+/// server sends is limited for each connection, what clients send for all
+/// together.
 class narrow_path
 {
 public:
@@ -34,9 +41,18 @@
         : io_(io), acceptor_(io, address_of(here)), server_(address_of(server)),
           limits_(limits)
     {
+        // A large buffer would take a request off a client at once.
+        acceptor_.set_option(
+            boost::asio::socket_base::receive_buffer_size(receive_buffer));
         accept();
     }
 
+    /// Returns the bytes that clients have sent to the server.
+    std::size_t passed_up() const
+    {
+        return passed_up_;
+    }
+
     /// From now on nothing passes, and no connection is closed.
     void go_silent()
     {
@@ -48,6 +64,7 @@
     using error_code = boost::system::error_code;
     static constexpr std::chrono::milliseconds step{10};
     static constexpr std::size_t max_buffer_bytes = 4096;
+    static constexpr int receive_buffer = 16 << 10;
 
     struct pipe
     {
@@ -59,6 +76,8 @@
         tcp::socket client;
         tcp::socket server;
         boost::asio::steady_timer timer;
+        std::optional<std::size_t> max_up_bytes;
+        std::size_t up_bytes = 0;
         std::array<char, max_buffer_bytes> up{};
         std::array<char, max_buffer_bytes> down{};
     };
@@ -76,6 +95,8 @@
                 if (ec)
                     return;
                 const auto it = std::make_shared<pipe>(std::move(socket), io_);
+                it->max_up_bytes =
+                    std::exchange(limits_.max_up_bytes_of_first, std::nullopt);
                 it->server.connect(server_, ec);
                 if (!ec)
                 {
@@ -92,15 +113,35 @@
             boost::asio::buffer(it->up),
             [this, it](error_code ec, std::size_t n)
             {
+                passed_up_ += n;
+                it->up_bytes += n;
+                if (it->max_up_bytes && it->up_bytes > *it->max_up_bytes)
+                    return;
                 if (!ec)
                     boost::asio::write(it->server,
                                        boost::asio::buffer(it->up, n), ec);
                 if (!ec)
-                    return send_up(it);
+                    return send_up_later(it, n);
                 it->server.close(ec);
             });
     }
 
+    void send_up_later(const std::shared_ptr<pipe>& it, std::size_t n)
+    {
+        if (limits_.up_bytes_per_second == 0)
+            return send_up(it);
+        const std::chrono::nanoseconds took(std::nano::den * n /
+                                            limits_.up_bytes_per_second);
+        up_free_ = std::max(up_free_, std::chrono::steady_clock::now()) + took;
+        const auto timer =
+            std::make_shared<boost::asio::steady_timer>(io_, up_free_);
+        timer->async_wait(
+            [this, it, timer](error_code)
+            {
+                send_up(it);
+            });
+    }
+
     void send_down(const std::shared_ptr<pipe>& it)
     {
         const std::size_t quantum =
@@ -135,6 +176,9 @@
     tcp::endpoint server_;
     path_limits limits_;
     std::size_t passed_ = 0;
+    std::size_t passed_up_ = 0;
+    /// When the path has carried all that clients have sent.
+    std::chrono::steady_clock::time_point up_free_;
 };
 
 } // namespace mustardwick::aio::test
--- a/src/mustardwick/entry/state_log.cpp
+++ b/src/mustardwick/entry/state_log.cpp
@@ -117,8 +117,13 @@
                           self->commit_number_ == number)
                           self->answered(reply, sent, copy);
                   });
+    resend_unless_answered();
+}
+
+void state_log::resend_unless_answered()
+{
     const bool outage =
-        failing_since_ && sent - *failing_since_ > outage_timeout;
+        failing_since_ && sent_ - *failing_since_ > outage_timeout;
     timer_.expires_after(outage ? outage_resend_interval : resend_interval_);
     timer_.async_wait(
         [self = shared_from_this(),
@@ -127,6 +132,9 @@
             if (ec || self->stopped_ || !self->busy_ ||
                 self->commit_number_ != number)
                 return;
+            // Another copy would share the path with this one.
+            if (self->store_.is_sending())
+                return self->resend_unless_answered();
             self->unresponsive_ = true;
             self->record_failure("no answer yet");
             self->send();
--- a/src/mustardwick/entry/state_log_test.cpp
+++ b/src/mustardwick/entry/state_log_test.cpp
@@ -5,6 +5,7 @@
 #include <criterion/criterion.h>
 
 #include "head_store_test.hpp"
+#include "src/mustardwick/aio/narrow_path_test.hpp"
 
 using namespace mustardwick;
 using namespace mustardwick::entry;
@@ -156,3 +157,112 @@
     cell.log->stop();
     cr_assert(observed.expired());
 }
+
+namespace
+{
+
+/// A link of 10 Mbit/s.
+constexpr std::size_t link_rate = 1'250'000;
+constexpr std::size_t link_rows = 12;
+constexpr std::size_t link_row_bytes = 48'000;
+
+struct narrow_link_case
+{
+    const char* name;
+    /// Bytes a second.
+    std::size_t rate;
+    std::optional<std::size_t> max_up_bytes_of_first;
+    int commits;
+    /// Bounds of all commits together.
+    milliseconds max_duration;
+    std::size_t max_bytes;
+};
+
+/// A log whose transactions share a narrow link.
+struct narrow_log
+{
+    narrow_log(std::uint16_t port, const narrow_link_case& it)
+        : fixture(port, store_fault::none),
+          path_address{"127.0.0.1", std::uint16_t(port + 1)},
+          path(fixture.io, path_address, fixture.address,
+               {link_rate, {}, it.rate, it.max_up_bytes_of_first}),
+          client(fixture.io, path_address, fixture.metrics),
+          log(std::make_shared<state_log>(
+              fixture.io, fixture.clock, client, fixture.metrics,
+              head_record{1, "a", "", 0, "", false}, fixture.store.version))
+    {
+        aio::listener_limits limits;
+        limits.max_body_bytes = 8U << 20U;
+        limits.header_timeout = std::chrono::seconds(10);
+        fixture.listener.set_limits(limits);
+    }
+
+    ~narrow_log()
+    {
+        log->stop();
+    }
+
+    narrow_log(const narrow_log&) = delete;
+    narrow_log& operator=(const narrow_log&) = delete;
+
+    bool commit()
+    {
+        durable::transaction change;
+        for (std::size_t it = 0; it < link_rows; ++it)
+            change.writes.push_back({{"jobs", "plan", std::to_string(it)},
+                                     std::string(link_row_bytes, 'x')});
+        std::optional<log_result> result;
+        log->commit(std::move(change),
+                    [&](log_result out)
+                    {
+                        result = out;
+                    });
+        const auto give_up = fixture.clock.now() + std::chrono::seconds(6);
+        while (!result && fixture.clock.now() < give_up)
+            fixture.io.run_one_for(milliseconds(50));
+        return result == log_result::durable;
+    }
+
+    log_fixture fixture;
+    wire::endpoint path_address;
+    aio::test::narrow_path path;
+    platform::store_client client;
+    std::shared_ptr<state_log> log;
+};
+
+} // namespace
+
+// Guards against copies of a large transaction that share a slow link with the
+// first one until each is given up before it has arrived: the leader commits
+// nothing any more, and its link stays full.
+Test(state_log, sends_no_copy_while_the_link_takes_the_first)
+{
+    const narrow_link_case cases[] = {
+        // 768 KB in base64, 0.61 s each.
+        {"large", link_rate, {}, 4, milliseconds(3200), 3'300'000},
+        // 3.1 s, longer than an answer may take.
+        {"shared with other traffic",
+         link_rate / 5,
+         {},
+         1,
+         milliseconds(3800),
+         900'000},
+        {"the first connection goes silent", link_rate, 200'000, 1,
+         milliseconds(2300), 1'150'000},
+    };
+    std::uint16_t port = 18'901;
+    for (const auto& it : cases)
+    {
+        narrow_log cell(port, it);
+        port += 2;
+        const auto begin = cell.fixture.clock.now();
+        for (int n = 0; n < it.commits; ++n)
+            cr_expect(cell.commit(), "%s: commit %d", it.name, n);
+        const auto took = std::chrono::duration_cast<milliseconds>(
+            cell.fixture.clock.now() - begin);
+        cr_expect_leq(took.count(), it.max_duration.count(), "%s: %d ms",
+                      it.name, int(took.count()));
+        cr_expect_leq(cell.path.passed_up(), it.max_bytes, "%s: %zu bytes",
+                      it.name, cell.path.passed_up());
+    }
+}
