--- a/include/mustardwick/aio/http_channel.hpp
+++ b/include/mustardwick/aio/http_channel.hpp
@@ -25,11 +25,11 @@
     std::vector<std::pair<std::string, std::string>> headers;
     /// Includes the time that the call waits for a connection.
     std::chrono::milliseconds timeout{1000};
-    /// When set, an answer that has begun to arrive is given up only after this
-    /// time without a byte, and `timeout` ends with its first byte: how long a
-    /// large answer takes depends on the path, not on the peer. In the same way
-    /// `timeout` begins again whenever the path takes a part of a large
-    /// request.
+    /// When set, an answer that has begun to arrive is given up only when less
+    /// than 4 KB arrive in this time, and `timeout` ends with its first byte:
+    /// how long a large answer takes depends on the path, not on the peer. In
+    /// the same way `timeout` begins again whenever the path takes a part of a
+    /// large request.
     std::optional<std::chrono::milliseconds> stall_timeout;
 };
 
@@ -93,8 +93,8 @@
     /// it reaches the process that answered the last one.
     bool has_idle_connection();
 
-    /// @brief Returns when a part of an answer arrived last that is not
-    /// complete yet.
+    /// @brief Returns when 4 KB, or the first part, of an answer arrived last
+    /// that is not complete yet.
     std::chrono::steady_clock::time_point last_part() const
     {
         return last_part_;
--- a/src/mustardwick/aio/http_channel.cpp
+++ b/src/mustardwick/aio/http_channel.cpp
@@ -34,6 +34,8 @@
 
 /// A request of this size may take longer to send than its answer to arrive.
 constexpr std::size_t large_request_bytes = 16U << 10U;
+/// Bytes of an answer that extend its deadline.
+constexpr std::size_t min_part_bytes = 4096;
 constexpr std::chrono::milliseconds sending_check_interval{25};
 
 /// Returns the bytes in a socket's send buffer that the peer's host has not
@@ -219,6 +221,8 @@
         parser_.emplace();
         parser_->body_limit(owner_->options_.max_body_bytes);
         parser_->eager(true);
+        received_ = 0;
+        is_first_part_ = true;
         read_part();
     }
 
@@ -226,7 +230,7 @@
     {
         http::async_read_some(
             stream_, buffer_, *parser_,
-            [self = shared_from_this()](error_code ec, std::size_t)
+            [self = shared_from_this()](error_code ec, std::size_t n)
             {
                 if (ec)
                     return self->finish_failed(transport_outcome::maybe_sent,
@@ -234,18 +238,27 @@
                 self->stop_checking();
                 if (self->parser_->is_done())
                     return self->finish_answered();
-                self->owner_->last_part_ = steady::now();
-                self->extend_deadline();
+                self->received_part(n);
                 self->read_part();
             });
     }
 
-    void extend_deadline()
+    /// An answer that arrives more slowly is taken for one that does not
+    /// arrive: another path may be faster.
+    void received_part(std::size_t n)
     {
-        const auto& stall_timeout = current_->call.stall_timeout;
-        if (stall_timeout)
-            stream_.expires_at(
-                std::max(deadline_, steady::now() + *stall_timeout));
+        received_ += n;
+        const bool extends = is_first_part_ || received_ >= min_part_bytes;
+        const auto now = steady::now();
+        if (extends)
+        {
+            is_first_part_ = false;
+            received_ = 0;
+            owner_->last_part_ = now;
+            if (const auto& stall_timeout = current_->call.stall_timeout)
+                deadline_ = std::max(deadline_, now + *stall_timeout);
+        }
+        stream_.expires_at(deadline_);
     }
 
     void finish_failed(transport_outcome end, error_code ec)
@@ -295,6 +308,9 @@
     std::optional<waiting_call> current_;
     steady::time_point deadline_;
     asio::steady_timer sending_timer_;
+    /// Bytes of the answer since the deadline was extended.
+    std::size_t received_ = 0;
+    bool is_first_part_ = true;
     /// Bytes of the request that the kernel has.
     std::size_t written_ = 0;
     /// Bytes of it that the path has taken.
