--- a/include/mustardwick/entry/configuration_fetch.hpp
+++ b/include/mustardwick/entry/configuration_fetch.hpp
@@ -21,6 +21,9 @@
 /// a block on the same connection: 26 ms at 10 Mbit/s.
 inline constexpr std::size_t configuration_block_bytes = 32U << 10U;
 
+/// Limit on a whole configuration: an answer of the store cannot be longer.
+inline constexpr std::size_t max_configuration_bytes = 4U << 20U;
+
 /// @brief Returns the leader's reply to a configuration request.
 ///
 /// A request without content comes from an earlier release, which expects the
@@ -108,11 +111,15 @@
         open_ = false;
         if (!result.answered() || result.payload.empty())
             return log_failure(result, begin);
+        // The configuration has arrived from the store in the meantime.
+        if (wanted_ == 0)
+            return;
         auto block = wire::decode<configuration_block>(result.payload);
         // A leader of an earlier release sends the whole text.
         if (!block)
             return on_.received(result.payload);
-        add(std::move(*block));
+        if (!add(std::move(*block)))
+            return log_unusable_block();
         if (partial_.bytes.size() < partial_.total_bytes)
             return request_block();
         const auto text = std::exchange(partial_, {}).bytes;
@@ -120,16 +127,31 @@
     }
 
     /// A block that does not continue the one before begins a newer version.
-    void add(configuration_block block)
+    /// Returns false, without any bytes left, when it can be neither.
+    bool add(configuration_block block)
     {
+        const bool is_sound =
+            !block.bytes.empty() &&
+            block.total_bytes <= max_configuration_bytes &&
+            block.offset < block.total_bytes &&
+            block.bytes.size() <= block.total_bytes - block.offset;
         const bool continues = block.version == partial_.version &&
+                               block.total_bytes == partial_.total_bytes &&
                                block.offset == partial_.bytes.size();
-        if (continues)
+        if (is_sound && continues)
             partial_.bytes += block.bytes;
-        else if (block.offset == 0)
+        else if (is_sound && block.offset == 0)
             partial_ = std::move(block);
         else
             partial_ = {};
+        return !partial_.bytes.empty();
+    }
+
+    void log_unusable_block() const
+    {
+        base::log_event(
+            base::log_level::warning, "config", "configuration_block_refused",
+            {{"version", wanted_}, {"leader", wire::to_string(leader_)}});
     }
 
     void log_failure(const aio::peer_result& result,
--- a/src/mustardwick/entry/configuration_fetch_test.cpp
+++ b/src/mustardwick/entry/configuration_fetch_test.cpp
@@ -1,6 +1,7 @@
 #include "mustardwick/entry/configuration_fetch.hpp"
 
 #include <deque>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -32,6 +33,13 @@
         done({aio::peer_failure::none, reply});
     }
 
+    void reply(std::string payload)
+    {
+        const auto done = std::move(open.front().second);
+        open.pop_front();
+        done({aio::peer_failure::none, std::move(payload)});
+    }
+
     void lose()
     {
         auto [payload, done] = std::move(open.front());
@@ -164,3 +172,78 @@
     cr_assert_eq(leader.calls, 4);
     cr_assert(received == leader.text);
 }
+
+namespace
+{
+
+struct odd_block_case
+{
+    const char* name;
+    configuration_block block;
+};
+
+using tested_fetch = configuration_fetch<leader_stub>;
+
+std::shared_ptr<tested_fetch> make_fetch(const base::clock& clock,
+                                         leader_stub& leader,
+                                         std::vector<std::string>& received)
+{
+    return std::make_shared<tested_fetch>(
+        clock, leader,
+        tested_fetch::events{[]
+                             {
+                                 return false;
+                             },
+                             [&](const std::string& text)
+                             {
+                                 received.push_back(text);
+                             }});
+}
+
+} // namespace
+
+// Guards against a block that makes the daemon ask for the next one without
+// end, grow without a limit, or take an incomplete text for a configuration.
+Test(configuration_fetch, refuses_blocks_that_lead_nowhere)
+{
+    const odd_block_case cases[] = {
+        {"empty", {7, 100, 0, ""}},
+        {"without end", {7, std::uint64_t(1) << 62U, 0, "text"}},
+        {"longer than the whole", {7, 2, 0, "text"}},
+        {"behind a gap", {7, 100, 50, "text"}},
+        {"behind the end", {7, 100, std::uint64_t(-1), "text"}},
+    };
+    const base::system_clock clock;
+    for (const auto& it : cases)
+    {
+        leader_stub leader;
+        std::vector<std::string> received;
+        const auto tested = make_fetch(clock, leader, received);
+        tested->advance({"127.0.0.1", 1}, leader.version);
+        leader.reply(wire::encode(it.block));
+        cr_expect_eq(leader.calls, 1, "%s", it.name);
+        cr_expect(received.empty(), "%s", it.name);
+        // The next heartbeat begins anew.
+        leader.text = make_text(100, 'a');
+        tested->advance({"127.0.0.1", 1}, leader.version);
+        leader.answer();
+        cr_expect(received == std::vector{leader.text}, "%s", it.name);
+    }
+}
+
+// Guards against an empty configuration that is passed on when the store
+// delivers the whole while a block is on its way.
+Test(configuration_fetch, ignores_a_block_that_is_not_needed_any_more)
+{
+    const base::system_clock clock;
+    leader_stub leader;
+    leader.text = make_text(4 * configuration_block_bytes, 'a');
+    std::vector<std::string> received;
+    const auto tested = make_fetch(clock, leader, received);
+    tested->advance({"127.0.0.1", 1}, leader.version);
+    leader.answer();
+    tested->clear();
+    leader.answer();
+    cr_assert(received.empty());
+    cr_assert(leader.open.empty());
+}
