--- a/include/mustardwick/entry/configuration_fetch.hpp
+++ b/include/mustardwick/entry/configuration_fetch.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -72,10 +73,12 @@
 
     /// @brief Continues towards a version that the leader has, unless a block
     /// is on its way. Call it for each heartbeat that names a newer version.
+    /// A version that was received is not requested again: this daemon has
+    /// refused it.
     void advance(const wire::endpoint& leader, std::int64_t version)
     {
         leader_ = leader;
-        wanted_ = version;
+        wanted_ = version > received_ ? version : 0;
         if (!open_)
             request_block();
     }
@@ -117,12 +120,18 @@
         auto block = wire::decode<configuration_block>(result.payload);
         // A leader of an earlier release sends the whole text.
         if (!block)
-            return on_.received(result.payload);
+            return complete(wanted_, result.payload);
         if (!add(std::move(*block)))
             return log_unusable_block();
         if (partial_.bytes.size() < partial_.total_bytes)
             return request_block();
-        const auto text = std::exchange(partial_, {}).bytes;
+        const auto whole = std::exchange(partial_, {});
+        complete(whole.version, whole.bytes);
+    }
+
+    void complete(std::int64_t version, const std::string& text)
+    {
+        received_ = std::max(received_, version);
         on_.received(text);
     }
 
@@ -177,6 +186,8 @@
     wire::endpoint leader_;
     /// Version that the leader has; 0 when none is wanted.
     std::int64_t wanted_ = 0;
+    /// Newest version that has arrived completely.
+    std::int64_t received_ = 0;
     /// The blocks that have arrived, as one.
     configuration_block partial_;
     bool open_ = false;
--- a/src/mustardwick/entry/configuration_fetch_test.cpp
+++ b/src/mustardwick/entry/configuration_fetch_test.cpp
@@ -247,3 +247,30 @@
     cr_assert(received.empty());
     cr_assert(leader.open.empty());
 }
+
+// Guards against a configuration that this daemon refuses and that it receives
+// again with each heartbeat.
+Test(configuration_fetch, asks_once_for_a_version)
+{
+    const base::system_clock clock;
+    for (const bool is_earlier_release : {false, true})
+    {
+        leader_stub leader;
+        leader.is_earlier_release = is_earlier_release;
+        leader.text = make_text(100, 'a');
+        std::vector<std::string> received;
+        const auto tested = make_fetch(clock, leader, received);
+        const auto heartbeat = [&]
+        {
+            tested->advance({"127.0.0.1", 1}, leader.version);
+            if (!leader.open.empty())
+                leader.answer();
+        };
+        for (int it = 0; it < 5; ++it)
+            heartbeat();
+        cr_expect_eq(received.size(), 1);
+        ++leader.version;
+        heartbeat();
+        cr_expect_eq(received.size(), 2);
+    }
+}
