--- a/testing/soak/slow_path_test.py
+++ b/testing/soak/slow_path_test.py
@@ -3,6 +3,7 @@
 
 import argparse
 import asyncio
+import base64
 import pathlib
 import sys
 import tempfile
@@ -16,7 +17,12 @@
 PATH_RATE = 250_000
 # The configuration is in force this long after it can have arrived.
 MARGIN_S = 1.0
+# The same for a stored state, which is read after an election.
+ELECTION_MARGIN_S = 3.0
 ADDED_ROUTES = 4000
+# Stored state that a new leader reads, in rows of the largest size.
+STORED_ROWS = 30
+STORED_ROW_BYTES = 48_000
 
 
 class NarrowCell(Cell):
@@ -32,6 +38,15 @@
         row = self.store.rows["op", "", "config"]
         return len(row["value"]), f"/added-{ADDED_ROUTES - 1}/"
 
+    def add_state(self):
+        """Stores progress of jobs that have been removed. Returns the bytes of
+        it in the store's answers."""
+        value = base64.b64encode(bytes(STORED_ROW_BYTES)).decode()
+        self.store.commit(
+            [{"table": "progress", "part": "plan", "key": f"{it:016x}/0",
+              "value": value} for it in range(STORED_ROWS)], [])
+        return STORED_ROWS * len(value)
+
     async def status_of(self, path):
         """Returns the status of a count of waiting jobs; 0 without one."""
         try:
@@ -68,17 +83,28 @@
     return out
 
 
+async def reads_a_large_state_as_leader(cell):
+    size = cell.add_state()
+    await cell.start()
+    cell.daemon.store_path.rate = PATH_RATE
+    return size, "/plain/"
+
+
 # Each guards against a transfer that is abandoned after a fixed time and begun
-# again, without end: the daemon serves an outdated configuration, or none, and
-# its path to the store stays full.
-CASES = [("configuration grows while it serves", grows_while_it_serves),
-         ("configuration is large at the start", is_large_at_the_start)]
+# again, without end: the daemon serves an outdated configuration, or none, or
+# leads without its jobs, and its path to the store stays full.
+CASES = [("configuration grows while it serves", grows_while_it_serves,
+          MARGIN_S),
+         ("configuration is large at the start", is_large_at_the_start,
+          MARGIN_S),
+         ("a new leader reads a large state", reads_a_large_state_as_leader,
+          ELECTION_MARGIN_S)]
 
 
-async def run_case(program, folder, number, prepare):
+async def run_case(program, folder, number, prepare, margin):
     cell = NarrowCell(program, folder, number)
     size, path = await prepare(cell)
-    limit = size / PATH_RATE + MARGIN_S
+    limit = size / PATH_RATE + margin
     took = await cell.time_until_served(path, limit)
     cell.kill_daemons()
     await cell.daemon.process.wait()
@@ -90,10 +116,11 @@
     parser.add_argument("--program", required=True, help="path of mustardwickd")
     options = parser.parse_args()
     failures = 0
-    for number, (name, prepare) in enumerate(CASES):
+    for number, (name, prepare, margin) in enumerate(CASES):
         with tempfile.TemporaryDirectory() as folder:
             took, limit = asyncio.run(run_case(
-                options.program, pathlib.Path(folder), 80 + number, prepare))
+                options.program, pathlib.Path(folder), 80 + number, prepare,
+                margin))
         after = "never" if took is None else f"after {took:.2f} s"
         print(f"{name}: served {after}, allowed {limit:.2f} s", flush=True)
         failures += took is None
--- a/testing/soak/store.py
+++ b/testing/soak/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import itertools
 import json
 import random
 
@@ -11,6 +12,7 @@
 READ_TIME_S = 0.004
 MAX_ROWS = 500
 MAX_ENTRIES = 100
+MAX_READ_BYTES = 1_000_000
 # Of a value in base64.
 MAX_VALUE_BYTES = 65_536
 
@@ -77,6 +79,10 @@
                         it["key"] >= query.get("from", "")),
                        key=lambda it: it["key"].encode())
         limit = min(int(query.get("limit", MAX_ROWS)), MAX_ROWS)
+        sizes = itertools.accumulate(len(it["value"]) for it in found)
+        fitting = sum(size <= MAX_READ_BYTES for size in sizes)
+        # A row may be longer than an answer.
+        limit = min(limit, max(1, fitting))
         return 200, {"row_version": self.version, "rows": found[:limit],
                      "has_more": len(found) > limit}
 
