--- a/src/mustardwick/entry/configuration_fetch_test.cpp
+++ b/src/mustardwick/entry/configuration_fetch_test.cpp
@@ -87,9 +87,9 @@
     constexpr std::size_t block = configuration_block_bytes;
     const fetch_case cases[] = {
         {"one block", 100, 0, 0, false, 100},
-        {"many blocks", 25 * block + 17, 0, 0, false, 26 * 100},
+        {"many blocks", 25 * block + 17, 0, 0, false, 2'600},
         {"whole blocks", 2 * block, 0, 0, false, 200},
-        {"every second block is lost", 8 * block, 2, 0, false, 8 * 100},
+        {"every second block is lost", 8 * block, 2, 0, false, 800},
         {"changes on the way", 8 * block, 0, 3, false, 4 * block},
         {"earlier release", 8 * block, 0, 0, true, 0},
     };
