--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -187,6 +187,9 @@
     std::optional<std::vector<durable::row>> pending_registry_;
 };
 
+/// @brief Returns how the planner of a daemon with these settings works.
+dispatch::planner_options planner_options_of(const settings& options);
+
 /// @name Rows of the cell
 /// @{
 inline const std::string cell_table = "cell";
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -42,6 +42,9 @@
 /// answers each member's configuration watch at least once a second.
 constexpr milliseconds store_answer_window{1500};
 constexpr milliseconds status_interval{1000};
+/// Ended jobs are kept for this much longer, because the time of their end may
+/// come from the wall clock of another host.
+constexpr milliseconds max_clock_error{5000};
 /// The store accepts 100 entries and 1 MB per transaction. The head row is one
 /// entry, and base64 enlarges values by a third. The last row may exceed the
 /// limit.
@@ -54,11 +57,13 @@
     return std::llround(suitability * 100);
 }
 
+} // namespace
+
 dispatch::planner_options planner_options_of(const settings& options)
 {
     dispatch::planner_options out;
     out.max_lease = options.limits.max_lease;
-    out.retention = options.limits.retention;
+    out.retention = options.limits.retention + max_clock_error;
     out.stop_grace = options.limits.stop_grace;
     out.keeps_apart = options.keeps_apart;
     // A timer may fire late but never early; half the tolerance is left for
@@ -67,8 +72,6 @@
     return out;
 }
 
-} // namespace
-
 cell_leader::cell_leader(environment env, head_record head,
                          std::int64_t head_version,
                          leadership_lost_handler lost)
