--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -68,9 +68,9 @@
 
     /// @brief Handles a message about jobs; returns false, without a response,
     /// when this leader cannot answer it: the state is not loaded yet,
-    /// leadership is being released, authority has expired, or the payload is
-    /// malformed. The response is empty when leadership ends before the outcome
-    /// is known.
+    /// leadership is being released or authority has expired, unless an ended
+    /// job is queried, or the payload is malformed. The response is empty when
+    /// leadership ends before the outcome is known.
     bool handle(wire::message_type type, const std::string& payload,
                 const aio::peer_responder& respond);
 
@@ -119,6 +119,9 @@
                    std::optional<member_record> successor);
     bool has_authority();
     bool submit(const std::string& payload, const aio::peer_responder& respond);
+    /// @brief Answers a query of an ended job, which needs no authority.
+    bool query_ended(const std::string& payload,
+                     const aio::peer_responder& respond) const;
     void query(const std::string& id, const aio::peer_responder& respond,
                bool is_confirmed);
     void cancel(const std::string& id, const aio::peer_responder& respond,
--- a/src/mustardwick/entry/cell_leader_calls.cpp
+++ b/src/mustardwick/entry/cell_leader_calls.cpp
@@ -99,8 +99,10 @@
                          const aio::peer_responder& respond)
 {
     using wire::message_type;
-    if (!loaded_ || releasing_ || !has_authority())
+    if (!loaded_)
         return false;
+    if (releasing_ || !has_authority())
+        return type == message_type::query_job && query_ended(payload, respond);
     if (type == message_type::submit_job)
         return submit(payload, respond);
     if (type == message_type::count_waiting)
@@ -159,6 +161,20 @@
     return open.total;
 }
 
+bool cell_leader::query_ended(const std::string& payload,
+                              const aio::peer_responder& respond) const
+{
+    const auto call = wire::decode<job_query>(payload);
+    const auto state = call ? planner_.state_of(call->id) : std::nullopt;
+    // The state is stored, and no successor changes it.
+    if (!state || !is_final(*state))
+        return false;
+    job_reply out{reply_status::done};
+    out.state = *state;
+    respond(answer(out));
+    return true;
+}
+
 void cell_leader::query(const std::string& id,
                         const aio::peer_responder& respond, bool is_confirmed)
 {
--- a/src/mustardwick/entry/unanswered_calls_test.cpp
+++ b/src/mustardwick/entry/unanswered_calls_test.cpp
@@ -153,3 +153,54 @@
         cr_assert(is_unknown(cell));
     }
 }
+
+struct ended_job_case
+{
+    bool is_ended;
+    /// The leader releases leadership; otherwise its authority expires.
+    bool is_releasing;
+    std::uint16_t port;
+};
+
+// Guards against queries of ended jobs without an answer while the store fails
+// and one member is silent, so that the leader has no authority.
+Test(unanswered_calls, of_ended_jobs_need_no_authority)
+{
+    constexpr milliseconds authority_expired{2700};
+    const std::array cases = {
+        ended_job_case{true, false, 18996},
+        ended_job_case{true, true, 18997},
+        ended_job_case{false, false, 18998},
+        ended_job_case{false, true, 18999},
+    };
+    for (const auto& it : cases)
+    {
+        leader_fixture cell(it.port);
+        const auto answered = [&]
+        {
+            return cell.reply.has_value();
+        };
+        cr_assert(take(cell, message_type::submit_job));
+        cell.run_until(answered);
+        if (it.is_ended)
+        {
+            cr_assert(take(cell, message_type::cancel_job));
+            cell.run_until(answered);
+        }
+        cr_assert(answered());
+        cell.store.fault = store_fault::unresponsive;
+        if (it.is_releasing)
+            cell.leader->release();
+        else
+            cell.io.run_for(authority_expired);
+        cr_assert_eq(take(cell, message_type::query_job), it.is_ended,
+                     "port %d", int(it.port));
+        cr_assert_eq(answered(), it.is_ended);
+        if (it.is_ended)
+            cr_assert_eq(wire::decode<job_reply>(*cell.reply)->state,
+                         jobs::job_state::cancelled);
+        // Other calls need it.
+        cr_assert_not(take(cell, message_type::submit_job));
+        cr_assert_not(take(cell, message_type::cancel_job));
+    }
+}
