Answer 503 on connections for which there is no place

With all places taken and none idle, a caller with a new connection saw it reset, or closed without a byte, and could not tell an overload from a request that was lost: the listener closed the socket at once.

Evidence: http_listener.answers_a_request_for_which_it_has_no_place printed before the fix: request before the accept: "", Connection reset by peer; the other row alone: request after the accept: "", End of file.

Up to 16 connections beyond the limit are now answered 503 with Retry-After: 1 and closed like other refusals. Further ones are closed as before and counted as turned away; http_listener.bounds_the_connections_that_it_turns_away checks the bound.

--- a/include/mustardwick/aio/http_listener.hpp
+++ b/include/mustardwick/aio/http_listener.hpp
@@ -50,7 +50,7 @@
     /// Time without a request after which a connection is closed.
     std::chrono::milliseconds idle_timeout{15'000};
     /// Beyond it, a new connection takes the place of the one that has been
-    /// idle for longest, or is closed when none is idle.
+    /// idle for longest, or is refused with 503 when none is idle.
     std::size_t max_connections = 2048;
 };
 
--- a/src/mustardwick/aio/http_listener.cpp
+++ b/src/mustardwick/aio/http_listener.cpp
@@ -19,6 +19,8 @@
 /// Connections whose sockets are asked for unread bytes when a new one needs a
 /// place. All of a crowd would cost a system call each.
 constexpr std::size_t max_asked_connections = 8;
+/// Connections beyond the limit that are open at once to be told so.
+constexpr std::size_t max_turned_away = 16;
 
 } // namespace
 
@@ -26,7 +28,7 @@
 {
     std::vector<std::shared_ptr<session>> waiting;
     for (const auto& it : sessions)
-        if (!it->is_busy())
+        if (!it->is_busy() && !it->is_turned_away())
             waiting.push_back(it);
     const auto asked = std::min(waiting.size(), max_asked_connections);
     std::partial_sort(waiting.begin(), waiting.begin() + std::ptrdiff_t(asked),
@@ -48,8 +50,15 @@
     return true;
 }
 
-void http_listener::impl::turn_away(asio::ip::tcp::socket& socket)
+void http_listener::impl::turn_away(asio::ip::tcp::socket socket)
 {
+    if (turned_away < max_turned_away)
+    {
+        const auto it =
+            std::make_shared<session>(shared_from_this(), std::move(socket));
+        sessions.insert(it);
+        return it->turn_away();
+    }
     error_code ec;
     const auto unread = socket.available(ec);
     guard.closed("listener",
@@ -58,11 +67,11 @@
 
 void http_listener::impl::accepted(asio::ip::tcp::socket socket)
 {
-    if (sessions.size() >= limits.max_connections)
+    if (sessions.size() - turned_away >= limits.max_connections)
     {
         guard.refused("listener", "too many connections");
         if (!close_longest_idle())
-            return turn_away(socket);
+            return turn_away(std::move(socket));
     }
     set_low_latency(socket);
     auto it = std::make_shared<session>(shared_from_this(), std::move(socket));
--- a/src/mustardwick/aio/http_listener_close_test.cpp
+++ b/src/mustardwick/aio/http_listener_close_test.cpp
@@ -1,8 +1,8 @@
 #include "mustardwick/aio/http_listener.hpp"
 
-#include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -16,6 +16,7 @@
 using namespace mustardwick::aio;
 namespace asio = boost::asio;
 using boost::system::error_code;
+using namespace std::string_literals;
 using std::chrono::milliseconds;
 
 namespace
@@ -29,8 +30,10 @@
     fixture(std::uint16_t port, const listener_limits& limits)
         : where(asio::ip::make_address("127.0.0.1"), port),
           server(io, {"127.0.0.1", port}, "Deadline-Ms", guard,
-                 [](const auto&, const auto& respond)
+                 [this](const auto& in, const auto& respond)
                  {
+                     if (in.target == "/held")
+                         return void(held.push_back(respond));
                      respond({200, "{}", "application/json", {}});
                  })
     {
@@ -82,12 +85,25 @@
     /// Length of "HTTP/1.1 200".
     static constexpr std::size_t status_size = 12;
 
+    /// Opens a connection with a request that is not answered.
+    asio::ip::tcp::socket connect_held()
+    {
+        auto out = connect();
+        asio::write(out,
+                    asio::buffer("GET /held HTTP/1.1\r\nHost: h\r\n\r\n"s));
+        for (int n = 0; n < max_waits && held.empty(); ++n)
+            run_for(milliseconds(5));
+        cr_assert_eq(held.size(), 1);
+        return out;
+    }
+
     base::system_clock clock;
     base::metrics metrics;
     connection_guard guard{clock, metrics, 64U << 20U};
     asio::io_context io;
     asio::io_context client_io;
     asio::ip::tcp::endpoint where;
+    std::vector<responder> held;
     http_listener server;
 };
 
@@ -220,3 +236,69 @@
     cr_assert_eq(ec, asio::error::eof);
     cr_assert_eq(test.metrics.count("mustardwick_closed_displaced_total"), 1);
 }
+
+struct turned_away_case
+{
+    const char* name;
+    /// Time from the connection to its request.
+    milliseconds delay;
+    std::uint16_t port;
+};
+
+// Guards against a caller without a place that gets a closed connection in
+// place of an answer that tells it to come again.
+Test(http_listener, answers_a_request_for_which_it_has_no_place)
+{
+    const turned_away_case cases[] = {
+        {"request before the accept", milliseconds(0), 18'833},
+        {"request after the accept", milliseconds(20), 18'834}};
+    for (const auto& it : cases)
+    {
+        listener_limits limits;
+        limits.max_connections = 1;
+        fixture test(it.port, limits);
+        auto first = test.connect_held();
+        auto second = test.connect();
+        test.run_for(it.delay);
+        error_code ec;
+        asio::write(second, asio::buffer(request), ec);
+        cr_assert(!ec, "%s: %s", it.name, ec.message().c_str());
+        const auto text = test.received(second, ec);
+        cr_assert_eq(text.substr(0, fixture::status_size), "HTTP/1.1 503",
+                     "%s: \"%s\", %s", it.name, text.c_str(),
+                     ec.message().c_str());
+        cr_assert(text.find("Retry-After: 1\r\n") != std::string::npos, "%s",
+                  it.name);
+        test.held[0]({200, "{}", "application/json", {}});
+        cr_assert_eq(test.received(first, ec).substr(0, fixture::status_size),
+                     "HTTP/1.1 200", "%s", it.name);
+    }
+}
+
+// Guards against connections without a place that together exceed the limit
+// while they are answered.
+Test(http_listener, bounds_the_connections_that_it_turns_away)
+{
+    listener_limits limits;
+    limits.max_connections = 1;
+    fixture test(18'836, limits);
+    const auto first = test.connect_held();
+    std::vector<asio::ip::tcp::socket> crowd;
+    for (int n = 0; n < 100; ++n)
+        crowd.push_back(test.connect());
+    test.run_for(milliseconds(100));
+    int open = 0;
+    for (auto& it : crowd)
+    {
+        error_code ec;
+        open += test.received(it, ec).starts_with("HTTP/1.1 503") ? 1 : 0;
+    }
+    cr_assert_eq(open, 16);
+    cr_assert_eq(test.metrics.count("mustardwick_closed_turned_away_total"),
+                 84);
+    // Others are told so again once these are closed.
+    crowd.clear();
+    test.run_for(milliseconds(50));
+    auto later = test.connect();
+    cr_assert_eq(test.exchange(later), "HTTP/1.1 503");
+}
--- a/src/mustardwick/aio/http_listener_impl.hpp
+++ b/src/mustardwick/aio/http_listener_impl.hpp
@@ -38,8 +38,8 @@
     /// Closes the connection that has been idle for longest; returns false when
     /// none is idle.
     bool close_longest_idle();
-    /// Closes a new connection for which there is no place.
-    void turn_away(boost::asio::ip::tcp::socket& socket);
+    /// Refuses a new connection for which there is no place.
+    void turn_away(boost::asio::ip::tcp::socket socket);
     /// Accepts the connections that wait to be accepted.
     void accept_established();
 
@@ -53,6 +53,8 @@
     listener_limits limits;
     std::set<std::shared_ptr<session>> sessions;
     std::size_t open_requests = 0;
+    /// Open sessions that have no place and are only told so.
+    std::size_t turned_away = 0;
     bool draining = false;
     /// Takes the input that sessions discard.
     std::array<char, 4096> discarded{};
@@ -69,6 +71,8 @@
     }
 
     void start();
+    /// Answers 503 without a request, and closes.
+    void turn_away();
     void wait_for_request();
 
     bool is_busy() const
@@ -88,6 +92,11 @@
         return is_discarding_;
     }
 
+    bool is_turned_away() const
+    {
+        return is_turned_away_;
+    }
+
     /// Returns whether no request is in progress, in the socket's buffer, or
     /// about to arrive on a new connection.
     bool is_idle();
@@ -137,6 +146,7 @@
     boost::beast::http::response<boost::beast::http::string_body> response_;
     bool is_open_ = true;
     bool is_discarding_ = false;
+    bool is_turned_away_ = false;
     /// The request was answered before it was received in full.
     bool is_refused_ = false;
     bool keep_alive_ = true;
--- a/src/mustardwick/aio/http_listener_session.cpp
+++ b/src/mustardwick/aio/http_listener_session.cpp
@@ -84,6 +84,14 @@
     wait_for_request();
 }
 
+void http_listener::impl::session::turn_away()
+{
+    is_turned_away_ = true;
+    ++owner_->turned_away;
+    busy_ = true;
+    refuse(503, shed_retry_after);
+}
+
 void http_listener::impl::session::wait_for_request()
 {
     busy_ = false;
@@ -135,7 +143,8 @@
 
 void http_listener::impl::session::end()
 {
-    is_open_ = false;
+    if (std::exchange(is_open_, false) && is_turned_away_)
+        --owner_->turned_away;
     busy_ = false;
     owner_->guard.remove(guard_id_);
     idle_timer_.reset();
