Answer a request whose time to arrive ends

Callers whose request had arrived only in part when header_timeout ended saw the connection end without an answer; and so did callers whose request was in the socket in full, when the event loop was held up as the timeout ended. The stream's own timer closed the socket without looking into it.

Evidence: http_listener.answers_a_request_whose_time_to_arrive_ends printed before the fix, row by row: rest of the header: "", Connection reset by peer; rest of the body: the same; part of the header: "", End of file; part of the body: "", Connection reset by peer.

A timer of the session takes the place of the stream's while a request is received. When it ends with unread bytes they get 100 ms to be read, once; a request that is still not complete is answered 503, as nothing of it was done, and counted in mustardwick_refused_request_timeout_total. The same timer serves the idle timeout and the wait behind a last answer; a generation number keeps a handler that is queued already from acting on a later wait.

--- a/src/mustardwick/aio/http_listener_close_test.cpp
+++ b/src/mustardwick/aio/http_listener_close_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
+#include "mustardwick/base/error.hpp"
 #include "mustardwick/base/log.hpp"
 
 using namespace mustardwick;
@@ -39,7 +40,7 @@
     {
         base::set_up_log("test", base::log_level::warning);
         server.set_limits(limits);
-        cr_assert(server.start());
+        cr_assert(server.start(), "%s", base::last_error().message.c_str());
     }
 
     asio::ip::tcp::socket connect()
@@ -302,3 +303,51 @@
     auto later = test.connect();
     cr_assert_eq(test.exchange(later), "HTTP/1.1 503");
 }
+
+struct slow_request_case
+{
+    const char* name;
+    std::string head;
+    /// What arrives before the handler of the timeout runs.
+    std::string rest;
+    const char* status;
+    std::uint16_t port;
+};
+
+// Guards against a timeout that closes a connection whose request has arrived
+// while the event loop was held up, and against a request that is given up
+// without an answer.
+Test(http_listener, answers_a_request_whose_time_to_arrive_ends)
+{
+    const std::string post =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n";
+    const slow_request_case cases[] = {
+        {"rest of the header", request.substr(0, 9), request.substr(9),
+         "HTTP/1.1 200", 18'841},
+        {"rest of the body", post, "0123456789", "HTTP/1.1 200", 18'842},
+        {"part of the header", request.substr(0, 9), "", "HTTP/1.1 503",
+         18'843},
+        {"part of the body", post, "01234", "HTTP/1.1 503", 18'844},
+    };
+    for (const auto& it : cases)
+    {
+        listener_limits limits;
+        limits.header_timeout = milliseconds(100);
+        fixture test(it.port, limits);
+        auto client = test.connect();
+        asio::write(client, asio::buffer(it.head));
+        test.run_for(milliseconds(20));
+        asio::steady_timer delayed(test.io, milliseconds(40));
+        delayed.async_wait(
+            [&](error_code)
+            {
+                asio::write(client, asio::buffer(it.rest));
+            });
+        std::this_thread::sleep_for(milliseconds(150));
+        error_code ec;
+        const auto text = test.received(client, ec);
+        cr_assert_eq(text.substr(0, fixture::status_size), it.status,
+                     "%s: \"%s\", %s", it.name, text.c_str(),
+                     ec.message().c_str());
+    }
+}
--- a/src/mustardwick/aio/http_listener_impl.hpp
+++ b/src/mustardwick/aio/http_listener_impl.hpp
@@ -107,7 +107,13 @@
 private:
     /// Returns whether bytes have arrived that no read has taken.
     bool has_unread_bytes();
-    void arm_idle_timer();
+    void set_timer(std::chrono::milliseconds time, void (session::*expired)());
+    void stop_timer();
+    void idle_expired();
+    /// Gives up the request that is being received, except that bytes in the
+    /// socket are read first.
+    void receive_expired();
+    void give_up();
     void report(std::string_view cause);
     /// Closes the connection when its caller has sent everything. Closing a
     /// socket with unread input resets the connection, and the reset can reach
@@ -142,7 +148,10 @@
     std::optional<
         boost::beast::http::request_parser<boost::beast::http::string_body>>
         parser_;
-    std::optional<boost::asio::steady_timer> idle_timer_;
+    /// Ends the current wait for the caller: for a request, for the rest of
+    /// one, or for the end of its input.
+    std::optional<boost::asio::steady_timer> timer_;
+    std::uint64_t timer_id_ = 0;
     boost::beast::http::response<boost::beast::http::string_body> response_;
     bool is_open_ = true;
     bool is_discarding_ = false;
@@ -154,6 +163,9 @@
     bool answered_ = false;
     /// The request that is being received is refused to free its memory.
     bool is_shed_ = false;
+    /// The time to receive the request has ended.
+    bool is_late_ = false;
+    bool is_timed_out_ = false;
     connection_guard::connection_id guard_id_ = 0;
     /// A request was received.
     bool served_ = false;
--- a/src/mustardwick/aio/http_listener_session.cpp
+++ b/src/mustardwick/aio/http_listener_session.cpp
@@ -25,7 +25,9 @@
 /// the header it bounds what a client can send between the parts of a body,
 /// such as chunk extensions and trailers.
 constexpr std::size_t read_ahead_bytes = 16U << 10U;
-constexpr milliseconds shed_retry_after{1000};
+constexpr milliseconds retry_delay{1000};
+/// Time to read what has arrived when the time of a request ends.
+constexpr milliseconds arrived_bytes_time{100};
 /// Limits on the input that is discarded behind a last answer.
 constexpr milliseconds discard_time{1000};
 constexpr std::size_t max_discarded_bytes = 1U << 20U;
@@ -62,13 +64,13 @@
     return {400, "malformed request"};
 }
 
-/// Returns whether a read failed because the connection was closed or timed
-/// out, so that no error response is sent.
+/// Returns whether a read failed because the connection was closed, so that no
+/// error response is sent.
 bool is_connection_lost(error_code ec)
 {
     return ec == http::error::end_of_stream || ec == asio::error::eof ||
            ec == asio::error::connection_reset ||
-           ec == asio::error::operation_aborted || ec == beast::error::timeout;
+           ec == asio::error::operation_aborted;
 }
 
 } // namespace
@@ -89,7 +91,7 @@
     is_turned_away_ = true;
     ++owner_->turned_away;
     busy_ = true;
-    refuse(503, shed_retry_after);
+    refuse(503, retry_delay);
 }
 
 void http_listener::impl::session::wait_for_request()
@@ -106,7 +108,7 @@
                                         return self->end();
                                     self->read_request();
                                 });
-    arm_idle_timer();
+    set_timer(owner_->limits.idle_timeout, &session::idle_expired);
 }
 
 bool http_listener::impl::session::is_idle()
@@ -147,26 +149,49 @@
         --owner_->turned_away;
     busy_ = false;
     owner_->guard.remove(guard_id_);
-    idle_timer_.reset();
+    stop_timer();
     error_code ignored;
     stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     stream_.socket().close(ignored);
     owner_->sessions.erase(shared_from_this());
 }
 
-void http_listener::impl::session::arm_idle_timer()
+void http_listener::impl::session::set_timer(milliseconds time,
+                                             void (session::*expired)())
 {
-    idle_timer_.emplace(owner_->io, owner_->limits.idle_timeout);
-    idle_timer_->async_wait(
-        [weak = weak_from_this()](error_code ec)
+    stop_timer();
+    timer_.emplace(owner_->io, time);
+    timer_->async_wait(
+        [weak = weak_from_this(), id = timer_id_, expired](error_code ec)
         {
             const auto self = weak.lock();
-            // With bytes in the socket, the wait for them is about to end.
-            if (!ec && self && !self->busy_ && !self->has_unread_bytes())
-                self->close("idle");
+            if (!ec && self && self->timer_id_ == id)
+                ((*self).*expired)();
         });
 }
 
+void http_listener::impl::session::stop_timer()
+{
+    // The handler of an expired timer may be queued already.
+    ++timer_id_;
+    timer_.reset();
+}
+
+void http_listener::impl::session::idle_expired()
+{
+    // With bytes in the socket, the wait for them is about to end.
+    if (!has_unread_bytes())
+        close("idle");
+}
+
+void http_listener::impl::session::receive_expired()
+{
+    if (!std::exchange(is_late_, true) && has_unread_bytes())
+        return set_timer(arrived_bytes_time, &session::receive_expired);
+    is_timed_out_ = true;
+    stream_.cancel();
+}
+
 void http_listener::impl::session::prepare_parser()
 {
     parser_.emplace();
@@ -178,9 +203,10 @@
 
 void http_listener::impl::session::read_request()
 {
-    idle_timer_.reset();
     busy_ = true;
-    stream_.expires_after(owner_->limits.header_timeout);
+    is_late_ = false;
+    stream_.expires_never();
+    set_timer(owner_->limits.header_timeout, &session::receive_expired);
     read_part();
 }
 
@@ -191,17 +217,19 @@
         [self = shared_from_this()](error_code ec, std::size_t)
         {
             if (self->is_shed_)
-                return self->refuse(503, shed_retry_after);
+                return self->refuse(503, retry_delay);
+            if (!ec && self->parser_->is_done())
+                return self->serve();
+            if (self->is_timed_out_)
+                return self->give_up();
             if (ec)
                 return self->reject(ec);
-            if (self->parser_->is_done())
-                return self->serve();
             self->owner_->guard.hold(
                 self->guard_id_, self->buffer_.capacity() +
                                      self->parser_->get().body().capacity());
             // The guard may have shed this connection.
             if (self->is_shed_)
-                return self->refuse(503, shed_retry_after);
+                return self->refuse(503, retry_delay);
             self->read_part();
         });
 }
@@ -213,10 +241,14 @@
     stream_.cancel();
 }
 
+void http_listener::impl::session::give_up()
+{
+    owner_->guard.refused("listener", "request timeout");
+    refuse(503, retry_delay);
+}
+
 void http_listener::impl::session::reject(error_code ec)
 {
-    if (ec == beast::error::timeout)
-        return close("request timeout");
     if (is_connection_lost(ec))
         return end();
     const auto [status, cause] = refusal_of(ec);
@@ -227,6 +259,7 @@
 void http_listener::impl::session::refuse(
     int status, std::optional<milliseconds> retry_after)
 {
+    stop_timer();
     parser_.emplace();
     buffer_.clear();
     buffer_.shrink_to_fit();
@@ -239,7 +272,7 @@
 
 void http_listener::impl::session::serve()
 {
-    stream_.expires_never();
+    stop_timer();
     owner_->guard.hold(guard_id_, 0);
     auto& message = parser_->get();
     keep_alive_ = message.keep_alive();
@@ -337,14 +370,7 @@
     buffer_.shrink_to_fit();
     error_code ignored;
     stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    idle_timer_.emplace(owner_->io, discard_time);
-    idle_timer_->async_wait(
-        [weak = weak_from_this()](error_code ec)
-        {
-            const auto self = weak.lock();
-            if (!ec && self)
-                self->end();
-        });
+    set_timer(discard_time, &session::end);
     discard(max_discarded_bytes);
 }
 
