--- a/src/mustardwick/aio/http_listener_close_test.cpp
+++ b/src/mustardwick/aio/http_listener_close_test.cpp
@@ -285,7 +285,8 @@
     fixture test(18'836, limits);
     const auto first = test.connect_held();
     std::vector<asio::ip::tcp::socket> crowd;
-    for (int n = 0; n < 100; ++n)
+    crowd.reserve(100);
+    while (crowd.size() < 100)
         crowd.push_back(test.connect());
     test.run_for(milliseconds(100));
     int open = 0;
