Test a stop while a request has begun to arrive

A review suspected that a planned stop drops a request whose first bytes arrive between the check and the close. Not shown: the test passed on the code as it is, with the start of the request unread or read, on a kept connection and on one not accepted yet. Bytes that are on the wire when the socket is closed are still reset; HTTP/1.1 gives an idle connection no way to announce its end.

--- a/src/mustardwick/aio/http_listener_test.cpp
+++ b/src/mustardwick/aio/http_listener_test.cpp
@@ -78,3 +78,55 @@
         cr_assert(server.is_closed(), "%s", it.name);
     }
 }
+
+struct begun_case
+{
+    const char* name;
+    /// Requests that were answered on the connection before.
+    int earlier;
+    /// The listener has read the start of the request.
+    bool read;
+    std::uint16_t port;
+};
+
+// Guards against a shutdown that drops a request whose first bytes have
+// arrived, whether or not the host has read them.
+Test(http_listener, answers_requests_that_had_begun_to_arrive_before_it_closes)
+{
+    base::set_up_log("test", base::log_level::error);
+    const begun_case cases[] = {{"kept connection, unread", 1, false, 18'846},
+                                {"kept connection, read", 1, true, 18'847},
+                                {"not accepted yet", 0, false, 18'848},
+                                {"new connection, read", 0, true, 18'849}};
+    for (const auto& it : cases)
+    {
+        asio::io_context io;
+        const wire::endpoint where{"127.0.0.1", it.port};
+        http_listener server(io, where, "Deadline-Ms", aio::test::ample_guard(),
+                             [](const auto&, const auto& respond)
+                             {
+                                 respond({200, "{}", "application/json", {}});
+                             });
+        cr_assert(server.start());
+        asio::ip::tcp::socket client(io);
+        client.connect({asio::ip::make_address("127.0.0.1"), it.port});
+        client.set_option(asio::ip::tcp::no_delay(true));
+        for (int n = 0; n < it.earlier; ++n)
+        {
+            asio::write(client, asio::buffer(request));
+            cr_assert(is_answered(io, client), "%s", it.name);
+        }
+        asio::write(client, asio::buffer(request.substr(0, 9)));
+        io.restart();
+        if (it.read)
+            io.run_for(milliseconds(20));
+        server.begin_drain();
+        server.close_idle();
+        io.run_for(milliseconds(20));
+        // The stop polls; each time it closes what is idle then.
+        server.close_idle();
+        asio::write(client, asio::buffer(request.substr(9)));
+        cr_assert(is_answered(io, client), "%s", it.name);
+        cr_assert(server.is_closed(), "%s", it.name);
+    }
+}
