Answer the held requests of the listener's tests, and move their ports

The sanitizer's leak check reported 6,406 bytes: a session with an open request keeps its listener alive.

--- a/src/mustardwick/aio/http_listener_close_test.cpp
+++ b/src/mustardwick/aio/http_listener_close_test.cpp
@@ -98,6 +98,14 @@
         return out;
     }
 
+    /// Answers that request; returns the start of its status line.
+    std::string answer_held(asio::ip::tcp::socket& socket)
+    {
+        error_code ec;
+        held.front()({200, "{}", "application/json", {}});
+        return received(socket, ec).substr(0, status_size);
+    }
+
     base::system_clock clock;
     base::metrics metrics;
     connection_guard guard{clock, metrics, 64U << 20U};
@@ -126,10 +134,10 @@
 Test(http_listener, serves_a_request_that_arrives_as_the_idle_timeout_ends)
 {
     const idle_case cases[] = {
-        {"kept connection", 1, request, "", 18'821},
-        {"new connection", 0, request, "", 18'822},
+        {"kept connection", 1, request, "", 18'866},
+        {"new connection", 0, request, "", 18'867},
         {"part of a request", 1, request.substr(0, 9), request.substr(9),
-         18'823},
+         18'868},
     };
     for (const auto& it : cases)
     {
@@ -180,11 +188,11 @@
     const last_answer_case cases[] = {
         {"body too large",
          "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n",
-         500'000, false, "HTTP/1.1 413", 18'826},
+         500'000, false, "HTTP/1.1 413", 18'871},
         {"malformed", "GET /\r\nHost: h\r\n\r\n", 100'000, false,
-         "HTTP/1.1 400", 18'827},
+         "HTTP/1.1 400", 18'872},
         {"requests behind the last answer", request + request, 30'000, true,
-         "HTTP/1.1 200", 18'828},
+         "HTTP/1.1 200", 18'873},
     };
     for (const auto& it : cases)
     {
@@ -221,7 +229,7 @@
 {
     listener_limits limits;
     limits.max_connections = 2;
-    fixture test(18'831, limits);
+    fixture test(18'876, limits);
     auto oldest = test.connect();
     cr_assert_eq(test.exchange(oldest), "HTTP/1.1 200");
     auto idle = test.connect();
@@ -251,8 +259,8 @@
 Test(http_listener, answers_a_request_for_which_it_has_no_place)
 {
     const turned_away_case cases[] = {
-        {"request before the accept", milliseconds(0), 18'833},
-        {"request after the accept", milliseconds(20), 18'834}};
+        {"request before the accept", milliseconds(0), 18'878},
+        {"request after the accept", milliseconds(20), 18'879}};
     for (const auto& it : cases)
     {
         listener_limits limits;
@@ -270,9 +278,7 @@
                      ec.message().c_str());
         cr_assert(text.find("Retry-After: 1\r\n") != std::string::npos, "%s",
                   it.name);
-        test.held[0]({200, "{}", "application/json", {}});
-        cr_assert_eq(test.received(first, ec).substr(0, fixture::status_size),
-                     "HTTP/1.1 200", "%s", it.name);
+        cr_assert_eq(test.answer_held(first), "HTTP/1.1 200", "%s", it.name);
     }
 }
 
@@ -282,8 +288,8 @@
 {
     listener_limits limits;
     limits.max_connections = 1;
-    fixture test(18'836, limits);
-    const auto first = test.connect_held();
+    fixture test(18'881, limits);
+    auto first = test.connect_held();
     std::vector<asio::ip::tcp::socket> crowd;
     crowd.reserve(100);
     while (crowd.size() < 100)
@@ -303,6 +309,7 @@
     test.run_for(milliseconds(50));
     auto later = test.connect();
     cr_assert_eq(test.exchange(later), "HTTP/1.1 503");
+    cr_assert_eq(test.answer_held(first), "HTTP/1.1 200");
 }
 
 struct slow_request_case
@@ -324,11 +331,11 @@
         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n";
     const slow_request_case cases[] = {
         {"rest of the header", request.substr(0, 9), request.substr(9),
-         "HTTP/1.1 200", 18'841},
-        {"rest of the body", post, "0123456789", "HTTP/1.1 200", 18'842},
+         "HTTP/1.1 200", 18'886},
+        {"rest of the body", post, "0123456789", "HTTP/1.1 200", 18'887},
         {"part of the header", request.substr(0, 9), "", "HTTP/1.1 503",
-         18'843},
-        {"part of the body", post, "01234", "HTTP/1.1 503", 18'844},
+         18'888},
+        {"part of the body", post, "01234", "HTTP/1.1 503", 18'889},
     };
     for (const auto& it : cases)
     {
--- a/src/mustardwick/aio/http_listener_test.cpp
+++ b/src/mustardwick/aio/http_listener_test.cpp
@@ -94,10 +94,10 @@
 Test(http_listener, answers_requests_that_had_begun_to_arrive_before_it_closes)
 {
     base::set_up_log("test", base::log_level::error);
-    const begun_case cases[] = {{"kept connection, unread", 1, false, 18'846},
-                                {"kept connection, read", 1, true, 18'847},
-                                {"not accepted yet", 0, false, 18'848},
-                                {"new connection, read", 0, true, 18'849}};
+    const begun_case cases[] = {{"kept connection, unread", 1, false, 18'891},
+                                {"kept connection, read", 1, true, 18'892},
+                                {"not accepted yet", 0, false, 18'893},
+                                {"new connection, read", 0, true, 18'894}};
     for (const auto& it : cases)
     {
         asio::io_context io;
