Move the soak's daemons, kept clients and first faults out of hosted_soak.py

A move, but for the record of each daemon's own disturbances (its process and its path to the store), which the checks of configurations need.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -1,5 +1,5 @@
-"""Faults that draw from random generators of their own, so that the jobs and
-faults of a seed do not depend on them; and the record of active faults."""
+"""Faults, and the record of active faults. All but the first draw from random
+generators of their own, so that a seed's first faults stay as they are."""
 
 import asyncio
 import contextlib
@@ -11,6 +11,7 @@
 
 from http_stub import serve
 
+STORE_FAULTS = ["busy", "reset", "unresponsive", "slow", "lost", "late"]
 PATH_FAULTS = ["refuse", "reset", "one_way"]
 FLOOD_SHARE = 0.85
 POISONED_SHARE = 0.04
@@ -93,6 +94,79 @@
         return kind
 
 
+class FirstFaults:
+    """Injects faults of daemons, of their paths to the store and of workers.
+    Draws from the generator of the jobs."""
+
+    def __init__(self, soak):
+        self.soak = soak
+        self.random = soak.random
+        self.active = soak.faults_active
+
+    async def daemon_fault(self):
+        it = self.random.choice(self.soak.daemons)
+        kind = self.random.choice(["kill", "term", "pause", "hup"])
+        length = self.random.uniform(0.2, 5)
+        self.soak.log_fault("daemon", it.name, kind, length)
+        if kind == "term":
+            return await self.soak.stop_for(it)
+        with self.active.during("unplanned"):
+            if kind == "hup":
+                it.signal(signal.SIGHUP)
+            elif kind == "pause":
+                with it.disturbances.during("unplanned"):
+                    it.signal(signal.SIGSTOP)
+                    await asyncio.sleep(length)
+                    it.signal(signal.SIGCONT)
+            else:
+                await it.stop(signal.SIGKILL)
+                await self.soak.restart(it)
+        return None
+
+    async def store_fault(self):
+        kind = self.random.choice(STORE_FAULTS)
+        length = self.random.uniform(0.5, 5)
+        share = self.random.choice([0.3, 0.5, 1.0])
+        daemons = [it for it in self.soak.daemons
+                   if self.random.random() < share]
+        self.soak.log_fault("store", f"{len(daemons)} daemons", kind, length)
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self.active.during("unplanned"))
+            for it in daemons:
+                stack.enter_context(it.disturbances.during("unplanned"))
+                self.soak.store.faults[it.store] = kind
+            await asyncio.sleep(length)
+            for it in daemons:
+                self.soak.store.faults.pop(it.store, None)
+
+    async def worker_fault(self):
+        it = self.random.choice(self.soak.workers)
+        kind = self.random.choice(["crash", "cut", "late"])
+        length = self.random.uniform(0.5, 7)
+        self.soak.log_fault("worker", it.id, kind, length)
+        if kind == "crash":
+            # Already down: the concurrent fault restarts it.
+            if not it.up:
+                return
+            with self.active.during("unplanned"):
+                it.crash()
+                self.soak.store.drop("servers", it.id)
+                await asyncio.sleep(length)
+                it.start_incarnation()
+            return
+        with self.active.during("unplanned"):
+            it.fault = kind
+            await asyncio.sleep(length)
+            it.fault = None
+
+    async def inject(self, until):
+        faults = [self.daemon_fault, self.store_fault, self.worker_fault]
+        while time.monotonic() < until:
+            await asyncio.sleep(
+                self.random.expovariate(self.soak.options.faults))
+            self.soak.spawn(self.random.choice(faults)())
+
+
 class SecondFaults:
     """Injects faults of network paths, floods of poisoned jobs and odd
     registry entries."""
--- a/testing/soak/hosted_soak.py
+++ b/testing/soak/hosted_soak.py
@@ -9,8 +9,6 @@
 
 import argparse
 import asyncio
-import json
-import os
 import pathlib
 import random
 import signal
@@ -19,24 +17,22 @@
 import time
 
 import http_stub
-from faults import (ActiveFaults, OddEntries, RouteChanges,
+from callers import CALL_TIMEOUT_S, KeptClient
+from daemons import HOST, ZONES, Daemon, Ports
+from faults import (ActiveFaults, FirstFaults, OddEntries, RouteChanges,
                     SecondFaults)
 from idle_check import IdleCheck
 from store import Store
 from workers import ATTEMPTS, Promises, Worker, serve_advice
 
-HOST = "127.0.0.1"
-ZONES = ["north", "south", "east"]
 KEYS = {"k-a": "a", "k-b": "b"}
 MAX_ACCOUNT_CPU = 40_000
 # Time limit in seconds for finishing every accepted job after the last fault:
 # the maximum lease, a leader election and the work itself.
 FINISH_TIMEOUT_S = 30
-CALL_TIMEOUT_S = 3.5
 # Time without faults after the last planned stop: in its second half the check
 # of waiting jobs applies.
 CALM_S = 20
-STORE_FAULTS = ["busy", "reset", "unresponsive", "slow", "lost", "late"]
 ROUTE = {"host": "soak.example", "service": "s", "attempts": ATTEMPTS,
          "stretch": 3}
 ROUTES = [{**ROUTE, "name": "plain", "path_prefix": "/plain/", "priority": 1,
@@ -46,104 +42,6 @@
            "advice": {"decide_ms": 10, "period_ms": 0.5, "valid_ms": 2500}}]
 
 
-class Ports:
-    """Allocates ports below the ephemeral range. Adjacent seeds, which run
-    concurrently, get disjoint port ranges."""
-
-    FIRST = 10_000
-    PORTS_PER_SEED = 200
-    RANGES = 100
-
-    def __init__(self, seed):
-        self.next = self.FIRST + seed % self.RANGES * self.PORTS_PER_SEED
-
-    def take(self, count):
-        first = self.next
-        self.next += count
-        return list(range(first, first + count))
-
-
-class Daemon:
-    """A daemon process with its own ports, settings and log file."""
-
-    def __init__(self, program, number, folder, ports):
-        self.program = program
-        self.name = f"entry-{number}"
-        self.callers, self.readiness, peers, metrics, self.store = ports[:5]
-        self.advice = ports[5]
-        self.log = folder / f"{self.name}.log"
-        self.settings = folder / f"{self.name}.json"
-        self.settings.write_text(json.dumps({
-            "name": self.name, "failure_domain": ZONES[number % len(ZONES)],
-            "callers": f"{HOST}:{self.callers}",
-            "readiness": f"{HOST}:{self.readiness}", "address": HOST,
-            "peer_port": peers, "metrics_port": metrics, "capacity": 0.25,
-            "store": f"{HOST}:{self.store}",
-            "advisor": f"{HOST}:{self.advice}",
-            "limits": {"max_lease_ms": 6000, "stop_grace_ms": 400}}))
-        self.process = None
-        # The listener of its port of the store.
-        self.store_path = None
-        # Set from SIGTERM until the process is started again.
-        self.stops_as_planned = False
-        self.restarting = asyncio.Lock()
-
-    async def start(self):
-        self.stops_as_planned = False
-        with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                self.program, "--hosted", stdout=log, stderr=log,
-                env={**os.environ,
-                     "MUSTARDWICK_SETTINGS": str(self.settings)})
-
-    def running(self):
-        return self.process is not None and self.process.returncode is None
-
-    def signal(self, number):
-        if self.running():
-            self.process.send_signal(number)
-
-    async def stop(self, number):
-        self.stops_as_planned = number == signal.SIGTERM
-        self.signal(signal.SIGCONT)
-        self.signal(number)
-        if self.process is not None:
-            await self.process.wait()
-
-
-class KeptClient:
-    """A caller that uses one connection to one daemon until it is closed, and
-    opens the next one at once, until the process is gone."""
-
-    def __init__(self, soak, daemon):
-        self.soak = soak
-        self.daemon = daemon
-        self.connection = None
-
-    async def send(self, *request):
-        if self.connection is None or self.connection.has_ended():
-            self.connection = await http_stub.Connection.open(
-                HOST, self.daemon.callers)
-        try:
-            return await asyncio.wait_for(self.connection.ask(*request),
-                                          CALL_TIMEOUT_S)
-        except (OSError, asyncio.TimeoutError):
-            self.connection.close()
-            raise
-
-    async def get(self, method, name):
-        deadline_ms = random.choice([300, 300, 1000, 3000])
-        return await self.soak.ask(self.daemon, method, name, deadline_ms,
-                                   self.send)
-
-    async def run(self):
-        while not self.soak.over:
-            await asyncio.sleep(random.uniform(0.1, 0.6))
-            names = self.soak.unfinished()
-            if names:
-                await self.soak.query(random.choice(names), self.get)
-
-
 class Soak:
     """Runs the cell, its callers and the fault injection."""
 
@@ -166,6 +64,7 @@
         self.routes = [dict(it) for it in ROUTES]
         self.faults = 0
         self.faults_active = ActiveFaults()
+        self.first = FirstFaults(self)
         self.second = SecondFaults(self, self.odd_entries)
         self.route_changes = RouteChanges(self)
         self.sending = True
@@ -324,25 +223,6 @@
 
     # Faults
 
-    async def daemon_fault(self):
-        it = self.random.choice(self.daemons)
-        kind = self.random.choice(["kill", "term", "pause", "hup"])
-        length = self.random.uniform(0.2, 5)
-        self.log_fault("daemon", it.name, kind, length)
-        if kind == "term":
-            return await self.stop_for(it)
-        with self.faults_active.during("unplanned"):
-            if kind == "hup":
-                it.signal(signal.SIGHUP)
-            elif kind == "pause":
-                it.signal(signal.SIGSTOP)
-                await asyncio.sleep(length)
-                it.signal(signal.SIGCONT)
-            else:
-                await it.stop(signal.SIGKILL)
-                await self.restart(it)
-        return None
-
     async def stop_for(self, it):
         """Stops a daemon as planned and starts it again."""
         with self.faults_active.during("planned"):
@@ -356,51 +236,11 @@
             if not it.running():
                 await it.start()
 
-    async def store_fault(self):
-        kind = self.random.choice(STORE_FAULTS)
-        length = self.random.uniform(0.5, 5)
-        share = self.random.choice([0.3, 0.5, 1.0])
-        ports = [it.store for it in self.daemons
-                 if self.random.random() < share]
-        self.log_fault("store", f"{len(ports)} daemons", kind, length)
-        with self.faults_active.during("unplanned"):
-            for it in ports:
-                self.store.faults[it] = kind
-            await asyncio.sleep(length)
-            for it in ports:
-                self.store.faults.pop(it, None)
-
-    async def worker_fault(self):
-        it = self.random.choice(self.workers)
-        kind = self.random.choice(["crash", "cut", "late"])
-        length = self.random.uniform(0.5, 7)
-        self.log_fault("worker", it.id, kind, length)
-        if kind == "crash":
-            # Already down: the concurrent fault restarts it.
-            if not it.up:
-                return
-            with self.faults_active.during("unplanned"):
-                it.crash()
-                self.store.drop("servers", it.id)
-                await asyncio.sleep(length)
-                it.start_incarnation()
-            return
-        with self.faults_active.during("unplanned"):
-            it.fault = kind
-            await asyncio.sleep(length)
-            it.fault = None
-
     def log_fault(self, what, where, kind, length):
         self.faults += 1
         print(f"{time.monotonic() - self.start_time:7.2f} {what} {where} "
               f"{kind} {length:.1f} s", flush=True)
 
-    async def inject(self, until):
-        faults = [self.daemon_fault, self.store_fault, self.worker_fault]
-        while time.monotonic() < until:
-            await asyncio.sleep(self.random.expovariate(self.options.faults))
-            self.spawn(self.random.choice(faults)())
-
     # Result
 
     def unfinished(self):
@@ -417,7 +257,7 @@
                      [idle_check, *(KeptClient(self, it)
                                     for it in self.daemons * 3)]]
         load = asyncio.ensure_future(self.send_jobs())
-        await asyncio.gather(self.inject(until), self.second.inject(until),
+        await asyncio.gather(self.first.inject(until), self.second.inject(until),
                              self.route_changes.inject(until))
         if self.second.calm_follows:
             await self.second.calm(CALM_S)
