--- a/testing/soak/checks_test.py
+++ b/testing/soak/checks_test.py
@@ -3,10 +3,15 @@
 daemons."""
 
 import asyncio
+import math
 import sys
 import time
+import types
 
 import http_stub
+from answer_check import (APPLY_S, CALM_S, STABLE_S, VISIBLE_S,
+                          AnswerCheck)
+from configurations import Change
 from faults import ActiveFaults
 from idle_check import AFTER_FAULT_S, LONGEST_GAP_S, LONGEST_WAIT_S, IdleCheck
 from store import Store
@@ -130,10 +135,125 @@
     return failures
 
 
+class FakeDaemon:
+    """Answers each path with one status; 0: with none."""
+
+    name = "entry-0"
+    callers = FIRST_PORT + 10
+
+    def __init__(self, statuses, usual_rate=None):
+        self.statuses = statuses
+        self.usual_rate = usual_rate
+        self.disturbances = ActiveFaults()
+
+    def running(self):
+        return True
+
+    async def handle(self, request):
+        status = self.statuses.get(request.path, 200)
+        if not status:
+            raise http_stub.Withhold
+        return status, {}
+
+
+async def ask_fake_daemon(daemon, calm_s=60, age_s=60, fault_s=60, size=0):
+    """Looks once at a daemon that has been calm for calm_s, age_s after a
+    change that added queue "new" and removed "old", and fault_s after the last
+    fault in the cell. Returns the violations."""
+    now = time.monotonic()
+    promises = Promises()
+    promises.jobs[NAME] = make_job(queue="plain", key="k-a",
+                                   accepted_at=now - VISIBLE_S - 1)
+    change = Change(size, added=["new"], removed=["old"])
+    change.written = now - age_s
+    daemon.disturbances.ended["unplanned"] = now - calm_s
+    faults = ActiveFaults()
+    faults.ended["unplanned"] = now - fault_s
+    soak = types.SimpleNamespace(
+        promises=promises, faults_active=faults, daemons=[daemon],
+        configurations=types.SimpleNamespace(changes=[change], added=["new"]),
+        route_changes=types.SimpleNamespace(last_change=-math.inf))
+    listener = await http_stub.serve(HOST, daemon.callers, daemon.handle)
+    await AnswerCheck(soak).look(daemon)
+    listener.close()
+    return promises.violations
+
+
+NEW, OLD, JOB = "/new/", "/old/", f"/plain/{NAME}"
+APPLIED = {OLD: 404}
+OUTDATED = {NEW: 404}
+
+
+async def finds_daemons_that_never_apply_a_configuration():
+    """Guards against a check that lets a daemon keep an outdated configuration,
+    or blames one whose path is disturbed or needs longer."""
+    failures = []
+    # Of 1 MB at 100 kB/s.
+    transfer_s = 20
+    for label, expected, statuses, rate, times in [
+            ("applied", 0, APPLIED, None, {}),
+            ("never applies", 2, OUTDATED, None, {}),
+            ("no longer serves", 1, {OLD: 404, NEW: 401}, None, {}),
+            ("keeps a removed queue", 1, {}, None, {}),
+            ("never applies, restarted long ago", 2, OUTDATED, None,
+             {"calm_s": STABLE_S + 0.1}),
+            ("restarted just now", 0, OUTDATED, None,
+             {"calm_s": STABLE_S - 0.5}),
+            ("never applies, written long ago", 2, OUTDATED, None,
+             {"age_s": APPLY_S + 0.1}),
+            ("written just now", 0, OUTDATED, None, {"age_s": APPLY_S - 0.5}),
+            ("never applies, narrow path", 2, OUTDATED, 100_000,
+             {"age_s": APPLY_S + transfer_s + 0.1}),
+            ("on its way over a narrow path", 0, OUTDATED, 100_000,
+             {"age_s": APPLY_S + transfer_s - 0.5})]:
+        daemon = FakeDaemon(statuses, rate)
+        violations = await ask_fake_daemon(
+            daemon, **{"fault_s": 1, "size": 1_000_000, **times})
+        if ([it.split()[0] for it in violations] != ["CONFIG"] * expected):
+            failures.append(f"{label}: {violations}")
+    return failures
+
+
+async def finds_daemons_that_do_not_answer_in_calm_time():
+    """Guards against a check that takes silence or a refusal for an answer, or
+    counts them beside faults."""
+    failures = []
+    for label, expected, statuses, fault_s in [
+            ("answers", [], {}, CALM_S + 0.1),
+            ("silent about jobs", ["LOST GET"], {JOB: 0}, CALM_S + 0.1),
+            ("504 about jobs", ["LOST GET"], {JOB: 504}, CALM_S + 0.1),
+            ("503 about jobs", ["LOST GET"], {JOB: 503}, CALM_S + 0.1),
+            ("silent about queues", ["LOST no"], {NEW: 0}, CALM_S + 0.1),
+            ("silent after a fault", [], {JOB: 0, NEW: 0}, CALM_S - 0.5)]:
+        daemon = FakeDaemon({**APPLIED, **statuses})
+        violations = await ask_fake_daemon(daemon, fault_s=fault_s)
+        if [" ".join(it.split()[:2]) for it in violations] != expected:
+            failures.append(f"{label}: {violations}")
+    return failures
+
+
+async def finds_answers_that_come_after_the_deadline():
+    """Guards against a check that waits for an answer without end."""
+    daemon = FakeDaemon(APPLIED)
+
+    async def sleep(request):
+        if request.path == JOB:
+            await asyncio.sleep(4)
+        return APPLIED.get(request.path, 200), {}
+
+    daemon.handle = sleep
+    violations = await ask_fake_daemon(daemon)
+    found = [it for it in violations if it.startswith("LOST GET")]
+    return [] if len(found) == len(violations) == 1 else [f"{violations}"]
+
+
 TESTS = [counts_two_runs_behind_a_faulty_path,
          counts_acknowledged_ends_unless_the_lease_has_lapsed,
          counts_starts_that_are_not_answered,
-         tells_waiting_jobs_from_jobs_that_cannot_run]
+         tells_waiting_jobs_from_jobs_that_cannot_run,
+         finds_daemons_that_never_apply_a_configuration,
+         finds_daemons_that_do_not_answer_in_calm_time,
+         finds_answers_that_come_after_the_deadline]
 
 
 def main():
--- a/testing/soak/daemons.py
+++ b/testing/soak/daemons.py
@@ -73,6 +73,16 @@
         if self.running():
             self.process.send_signal(number)
 
+    def leads_since(self):
+        """Returns when it last became leader, as text that can be compared;
+        empty if it never did."""
+        if not self.log.exists():
+            return ""
+        lines = [it for it in self.log.read_text(errors="replace").splitlines()
+                 if " event=leadership_acquired " in it and
+                 " component=leader " in it]
+        return lines[-1].split()[0] if lines else ""
+
     async def stop(self, number):
         self.stops_as_planned = number == signal.SIGTERM
         self.signal(signal.SIGCONT)
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -257,12 +257,14 @@
     def __init__(self, soak):
         self.soak = soak
         self.random = random.Random(f"routes-{soak.options.seed}")
+        self.last_change = -math.inf
 
     async def change(self):
         routes = self.soak.routes
         route = self.random.choice(routes)
         length = self.random.choice([0, self.random.uniform(0.2, 3)])
         self.soak.log_fault("route", route["name"], "renamed", length)
+        self.last_change = math.inf
         if length:
             routes.remove(route)
             self.soak.configure()
@@ -270,6 +272,7 @@
             routes.append(route)
         route["name"] = f"r-{self.random.randrange(10**6)}"
         self.soak.configure()
+        self.last_change = time.monotonic()
 
     async def inject(self, until):
         while time.monotonic() < until:
--- a/testing/soak/hosted_soak.py
+++ b/testing/soak/hosted_soak.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import math
 import pathlib
 import random
 import signal
@@ -17,7 +18,9 @@
 import time
 
 import http_stub
+from answer_check import AnswerCheck
 from callers import CALL_TIMEOUT_S, KeptClient
+from configurations import GrowingConfigurations
 from daemons import HOST, ZONES, Daemon, Ports
 from faults import (ActiveFaults, FirstFaults, OddEntries, RouteChanges,
                     SecondFaults)
@@ -33,6 +36,9 @@
 # Time without faults after the last planned stop: in its second half the check
 # of waiting jobs applies.
 CALM_S = 20
+# Otherwise only configurations change for this time, so that the check of
+# answers applies.
+SETTLE_S = 13
 ROUTE = {"host": "soak.example", "service": "s", "attempts": ATTEMPTS,
          "stretch": 3}
 ROUTES = [{**ROUTE, "name": "plain", "path_prefix": "/plain/", "priority": 1,
@@ -67,6 +73,7 @@
         self.first = FirstFaults(self)
         self.second = SecondFaults(self, self.odd_entries)
         self.route_changes = RouteChanges(self)
+        self.configurations = GrowingConfigurations(self)
         self.sending = True
         # Ends the callers; wait_for() may swallow their cancellation.
         self.over = False
@@ -78,7 +85,8 @@
                    {"name": "b", "api_keys": ["k-b"], "weight": 50,
                     "maximum": {"cpu": MAX_ACCOUNT_CPU}}]
         self.store.put("op", "config", {
-            "version": self.version, "routes": self.routes,
+            "version": self.version,
+            "routes": self.routes + self.configurations.routes(ROUTE),
             "services": [{"name": "s"}], "tenants": tenants, "limits": {}})
 
     async def start(self):
@@ -88,6 +96,7 @@
             await it.listen()
         for it in self.daemons:
             it.store_path = await self.store.listen(HOST, it.store)
+            it.store_path.rate = it.usual_rate
             await serve_advice(HOST, it.advice)
             await it.start()
 
@@ -155,6 +164,7 @@
                 status = 504
             if status == 200:
                 job["accepted"] = job["maybe_accepted"] = True
+                job["accepted_at"] = time.monotonic()
                 return
             if status not in (429, 503):
                 job["maybe_accepted"] = True
@@ -236,6 +246,10 @@
             if not it.running():
                 await it.start()
 
+    def leader(self):
+        """Returns the daemon that was the last to become leader."""
+        return max(self.daemons, key=lambda it: it.leads_since())
+
     def log_fault(self, what, where, kind, length):
         self.faults += 1
         print(f"{time.monotonic() - self.start_time:7.2f} {what} {where} "
@@ -249,18 +263,20 @@
 
     async def run(self):
         self.start_time = time.monotonic()
+        self.configurations.choose_paths()
         await self.start()
         await asyncio.sleep(2)
         until = time.monotonic() + self.options.seconds
         idle_check = IdleCheck(self.promises, self.workers, self.faults_active)
+        answer_check = AnswerCheck(self)
         observers = [asyncio.ensure_future(it.run()) for it in
-                     [idle_check, *(KeptClient(self, it)
-                                    for it in self.daemons * 3)]]
+                     [idle_check, answer_check, *(KeptClient(self, it)
+                                                  for it in self.daemons * 3)]]
         load = asyncio.ensure_future(self.send_jobs())
-        await asyncio.gather(self.first.inject(until), self.second.inject(until),
-                             self.route_changes.inject(until))
-        if self.second.calm_follows:
-            await self.second.calm(CALM_S)
+        await asyncio.gather(*(it.inject(until) for it in
+                               [self.first, self.second, self.route_changes,
+                                self.configurations]))
+        await self.settle()
         self.sending = False
         await load
         deadline = time.monotonic() + FINISH_TIMEOUT_S
@@ -285,11 +301,23 @@
         accepted = sum(it["accepted"] for it in jobs)
         print(f"seed {self.options.seed}: {len(jobs)} jobs, {accepted} "
               f"accepted, {self.promises.starts} starts, {self.faults} faults,"
+              f" {answer_check.asked} questions,"
               f" {len(self.promises.violations)} violations", flush=True)
         if accepted * 4 < len(jobs):
             self.promises.violate("fewer than a quarter of the jobs accepted")
         return not self.promises.violations
 
+    async def settle(self):
+        """Lets configurations change after the last unplanned fault."""
+        while self.faults_active.quiet_since() == math.inf:
+            await asyncio.sleep(0.1)
+        changes = asyncio.ensure_future(self.configurations.keep_changing())
+        if self.second.calm_follows:
+            await self.second.calm(CALM_S)
+        else:
+            await asyncio.sleep(SETTLE_S)
+        changes.cancel()
+
     async def end_callers(self, observers):
         for it in observers:
             if it.done():
--- a/testing/soak/http_stub.py
+++ b/testing/soak/http_stub.py
@@ -5,11 +5,13 @@
 import select
 import socket
 import struct
+import time
 import urllib.parse
 
 
 # Bytes written at once on a path with a limited rate.
 PIECE_BYTES = 4096
+LAG_S = 0.05
 
 
 class Withhold(Exception):
@@ -61,6 +63,8 @@
         # Bytes a second that the path to the clients carries; None: no limit.
         self.rate = None
         self.path = asyncio.Lock()
+        # When the path has carried what was written to it.
+        self.free_at = 0
         self.server = None
         self.writers = set()
 
@@ -106,12 +110,20 @@
         while self.rate is not None and data:
             piece, data = data[:PIECE_BYTES], data[PIECE_BYTES:]
             async with self.path:
-                await asyncio.sleep(len(piece) / self.rate)
+                await self.carry(len(piece))
             writer.write(piece)
             await writer.drain()
         writer.write(data)
         await writer.drain()
 
+    async def carry(self, size):
+        """Makes up for sleeps that were too long, up to LAG_S."""
+        if self.rate is None:
+            return
+        now = time.monotonic()
+        self.free_at = max(self.free_at, now - LAG_S) + size / self.rate
+        await asyncio.sleep(self.free_at - now)
+
 
 def reset(writer):
     """Closes a connection with RST."""
--- a/testing/soak/store.py
+++ b/testing/soak/store.py
@@ -92,13 +92,15 @@
         end = loop.time() + int(query.get("wait_ms", 0)) / 1000
         while True:
             rows = {}
-            for it in self.history:
-                if it["row_version"] > after and it["table"] == query["table"]:
-                    rows[it["part"], it["key"]] = it
+            for it in reversed(self.history):
+                if it["row_version"] <= after:
+                    break
+                if it["table"] == query["table"]:
+                    rows.setdefault((it["part"], it["key"]), it)
             left = end - loop.time()
             if rows or left <= 0:
                 return 200, {"row_version": self.version,
-                             "rows": list(rows.values())}
+                             "rows": list(reversed(rows.values()))}
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
