--- a/include/mustardwick/entry/leader_candidate.hpp
+++ b/include/mustardwick/entry/leader_candidate.hpp
@@ -29,6 +29,9 @@
         std::function<void(head_record, std::int64_t version)> acquired;
         /// Called when the head row names another leader.
         std::function<void(const head_record&)> leader_seen;
+        /// Returns whether this daemon has a configuration. A leader without
+        /// one would place recovered jobs beyond the limits of their accounts.
+        std::function<bool()> is_configured;
     };
 
     leader_candidate(boost::asio::io_context& io, const base::clock& time,
--- a/src/mustardwick/entry/entry_node.cpp
+++ b/src/mustardwick/entry/entry_node.cpp
@@ -174,6 +174,10 @@
                 peers->call(where, message_type::join_cell,
                             wire::encode(self_record), join_timeout,
                             [](const aio::peer_result&) {});
+            },
+            [this]
+            {
+                return config->state().configuration.has_value();
             }});
     candidate->start();
     write_member_row();
--- a/src/mustardwick/entry/leader_candidate.cpp
+++ b/src/mustardwick/entry/leader_candidate.cpp
@@ -204,6 +204,8 @@
 
 void leader_candidate::acquire(std::int64_t epoch, std::int64_t version)
 {
+    if (!on_.is_configured())
+        return;
     log_event(log_level::info, "leadership", "acquisition_started",
               {{"epoch", epoch}, {"head_version", version}});
     attempt_ = head_record{epoch,      self_.name,        self_.address,
--- a/src/mustardwick/entry/leader_candidate_test.cpp
+++ b/src/mustardwick/entry/leader_candidate_test.cpp
@@ -29,7 +29,11 @@
                                        {
                                            head = std::move(record);
                                        },
-                                       [](const head_record&) {}}))
+                                       [](const head_record&) {},
+                                       [this]
+                                       {
+                                           return configured;
+                                       }}))
     {
     }
 
@@ -50,6 +54,7 @@
         return head.has_value();
     }
 
+    bool configured = true;
     std::optional<head_record> head;
     std::shared_ptr<leader_candidate> candidate;
 };
@@ -199,3 +204,38 @@
         cr_assert_eq(cell.head->epoch, 8, "%s", it.name);
     }
 }
+
+struct unconfigured_case
+{
+    const char* name;
+    bool released;
+    bool offered;
+    std::uint16_t port;
+};
+
+// Guards against a leader that has no configuration yet: behind a path that
+// needs seconds for it, it started recovered jobs beyond their account's limit.
+Test(leader_candidate, waits_for_a_configuration)
+{
+    const std::array cases = {
+        unconfigured_case{"released", true, false, 27465},
+        unconfigured_case{"silent leader", false, false, 27466},
+        unconfigured_case{"offered", false, true, 27467}};
+    for (const auto& it : cases)
+    {
+        const auto bytes =
+            wire::encode(head_record{7, "b", "127.0.0.1", 2, "t", it.released});
+        candidate_fixture cell(
+            it.port, utility::conversions::to_base64(std::vector<unsigned char>(
+                         bytes.begin(), bytes.end())));
+        cell.configured = false;
+        cell.candidate->start();
+        cell.candidate->heartbeat_received(0);
+        if (it.offered)
+            cell.candidate->take_over({7, 4});
+        cr_assert_not(cell.acquires_within(milliseconds(1800)), "%s", it.name);
+        cell.configured = true;
+        cr_assert(cell.acquires_within(milliseconds(700)), "%s", it.name);
+        cr_assert_eq(cell.head->epoch, 8, "%s", it.name);
+    }
+}
