--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -178,6 +178,7 @@
     stored_jobs stored_;
     std::map<std::string, jobs::queue> stored_queues_;
     std::set<std::string> known_workers_;
+    std::set<std::string> configured_queues_;
     std::int64_t registry_version_ = 0;
     bool work_scheduled_ = false;
     bool loaded_ = false;
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -171,7 +171,12 @@
     if (state.configuration && heartbeats_)
         heartbeats_->set_configuration(state.configuration->version);
     if (state.configuration)
+    {
+        configured_queues_.clear();
+        for (const auto& [name, queue] : state.configuration->queues)
+            configured_queues_.insert(name);
         planner_.set_configuration(*state.configuration);
+    }
     planner_.set_evacuated(state.evacuated);
     schedule_work();
 }
--- a/src/mustardwick/entry/cell_leader_calls.cpp
+++ b/src/mustardwick/entry/cell_leader_calls.cpp
@@ -62,8 +62,13 @@
     auto job = wire::decode<jobs::job>(payload);
     if (!job)
         return false;
+    const bool is_known = planner_.state_of(job->id).has_value();
+    // The gateway's configuration may be older or newer than this one. Without
+    // the terms of its queue the job would never run.
+    if (!is_known && !configured_queues_.contains(job->queue))
+        return false;
     const auto tracked = calls_.track(submit_call, env_.clock.now(), respond);
-    if (!planner_.state_of(job->id))
+    if (!is_known)
         if (const auto retry_after = planner_.refuse_surplus(*job))
         {
             job_reply out{reply_status::over_share};
@@ -79,7 +84,7 @@
             store_retry_after().value_or(min_retry_after).count();
         tracked(answer(out));
     };
-    if (store_retry_after() && !planner_.state_of(job->id))
+    if (store_retry_after() && !is_known)
     {
         refuse();
         return true;
--- a/src/mustardwick/entry/stale_leader_test.cpp
+++ b/src/mustardwick/entry/stale_leader_test.cpp
@@ -48,3 +48,49 @@
             cr_assert_eq(reply->status, reply_status::unknown_job);
     }
 }
+
+struct queue_case
+{
+    const char* name;
+    /// Queues of the leader's configurations, one after the other.
+    std::vector<std::string> configured;
+    /// The job is submitted after the first configuration too.
+    bool is_repeated;
+    std::uint16_t port;
+    bool accepted;
+};
+
+// Guards against jobs that never run: a gateway with an older configuration
+// passed on a job of a queue that had been renamed, and the leader, which knows
+// no terms of that name, accepted it.
+Test(stale_leader, accepts_jobs_of_queues_that_it_knows)
+{
+    const std::array cases = {
+        queue_case{"configured", {"q"}, false, 27484, true},
+        queue_case{"renamed", {"q", "r"}, false, 27485, false},
+        queue_case{"renamed, job is known", {"q", "r"}, true, 27486, true},
+        queue_case{"not configured yet", {"r"}, false, 27487, false},
+        queue_case{"came back", {"r", "q"}, false, 27488, true},
+    };
+    for (const auto& it : cases)
+    {
+        leader_fixture cell(it.port);
+        jobs::job job;
+        job.id = "0123456789abcdef";
+        job.queue = "q";
+        job.steps.resize(1);
+        operator_state state;
+        state.configuration.emplace();
+        for (const auto& queue : it.configured)
+        {
+            ++state.configuration->version;
+            state.configuration->queues = {{queue, {}}};
+            state.configuration->queues[queue].name = queue;
+            cell.leader->configure(state);
+            if (it.is_repeated)
+                cell.call(message_type::submit_job, job);
+        }
+        cr_assert_eq(cell.call(message_type::submit_job, job), it.accepted,
+                     "%s", it.name);
+    }
+}
