--- a/testing/soak/answer_check.py
+++ b/testing/soak/answer_check.py
@@ -45,19 +45,23 @@
 
     # Configurations
 
-    def transfer_s(self, daemon):
-        """Returns the time that the bytes of a configuration need, and those
-        of one that was on its way when it was written."""
+    def transfer_s(self, daemon, since=math.inf):
+        """Returns the time that the bytes of a configuration need, those of
+        one that was on its way when it was written, and those of other tables
+        since then, such as the jobs that a new leader loads."""
         if daemon.usual_rate is None:
             return 0
         size = max((it.size for it in self.soak.configurations.changes),
                    default=0)
-        return 2 * size / daemon.usual_rate
+        others = sum(length for begin, table, length in
+                     daemon.store_path.answers
+                     if begin >= since and table != "op")
+        return (2 * size + others) / daemon.usual_rate
 
     def is_due(self, daemon, change, sent):
         """Whether a daemon handles a request by this change."""
         calm = max(daemon.disturbances.quiet_since(), self.held_up)
-        transfer = self.transfer_s(daemon)
+        transfer = self.transfer_s(daemon, max(change.written, calm))
         return (daemon.running() and
                 sent > change.written + APPLY_S + transfer and
                 sent > calm + STABLE_S + transfer)
--- a/testing/soak/http_stub.py
+++ b/testing/soak/http_stub.py
@@ -63,6 +63,8 @@
         # Bytes a second that the path to the clients carries; None: no limit.
         self.rate = None
         self.path = asyncio.Lock()
+        # Time, table and bytes of each answer.
+        self.answers = []
         # When the path has carried what was written to it.
         self.free_at = 0
         self.server = None
@@ -91,6 +93,9 @@
             while (request := await read_request(reader)) is not None:
                 status, body = await self.handle(request)
                 data = json.dumps(body).encode()
+                if self.rate is not None:
+                    self.answers.append((time.monotonic(),
+                                         request.query.get("table"), len(data)))
                 await self.write(
                     writer,
                     b"HTTP/1.1 %d -\r\nContent-Type: application/json\r\n"
