--- a/src/mustardwick/entry/unanswered_calls_test.cpp
+++ b/src/mustardwick/entry/unanswered_calls_test.cpp
@@ -20,6 +20,19 @@
     return out;
 }
 
+/// A leader that accepts jobs of queue "q".
+struct serving_leader : leader_fixture
+{
+    explicit serving_leader(std::uint16_t port) : leader_fixture(port)
+    {
+        operator_state state;
+        state.configuration.emplace();
+        state.configuration->version = 1;
+        state.configuration->queues["q"].name = "q";
+        leader->configure(state);
+    }
+};
+
 bool take(leader_fixture& cell, message_type type)
 {
     if (type == message_type::submit_job)
@@ -71,7 +84,7 @@
     };
     for (const auto& it : cases)
     {
-        leader_fixture cell(it.port);
+        serving_leader cell(it.port);
         cell.store.fault = store_fault::unresponsive;
         if (it.is_submitted)
             cr_assert(take(cell, message_type::submit_job));
@@ -117,7 +130,7 @@
     };
     for (const auto& it : cases)
     {
-        leader_fixture cell(it.port);
+        serving_leader cell(it.port);
         cell.store.fault = it.fault;
         const auto answered = [&]
         {
@@ -175,7 +188,7 @@
     };
     for (const auto& it : cases)
     {
-        leader_fixture cell(it.port);
+        serving_leader cell(it.port);
         const auto answered = [&]
         {
             return cell.reply.has_value();
