Log by what a ready step is held back, and since when

Callers saw jobs that could run and did not, in a cell with free capacity.

step_held_back names a step that has been held back for over 1 s, the reason of the last round, the time, and the service's hosts by the first reason for which the step cannot use them. At most four steps a second are logged, the oldest first, each at most every 4 s; only these cost a pass over the hosts.

--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -19,6 +19,32 @@
 namespace mustardwick::dispatch
 {
 
+/// @brief Why no task of a ready step has started in the last round.
+enum class hold_reason
+{
+    account_at_maximum,
+    /// In favour of steps of a higher value class.
+    deferred,
+    /// More urgent gang steps wait for all capacity that can be planned ahead.
+    behind_planned_steps,
+    waiting_for_advice,
+    /// No ticket is valid, and no query can be sent.
+    no_free_channel,
+    /// Its tasks would be in time only if they started together.
+    kept_for_whole_start,
+    /// The hosts that it may use have too little free capacity.
+    without_capacity
+};
+
+/// @brief A ready step of which no task has started for a while.
+struct held_step
+{
+    base::steady_time since;
+    hold_reason reason{};
+    /// It is not logged again before this time.
+    base::steady_time next_log;
+};
+
 /// @brief State of one step of one occurrence that is only kept in memory.
 struct step_run
 {
@@ -43,6 +69,7 @@
     policy::estimate_baseline run_times;
     /// Since when no host has been able to take any of the waiting tasks.
     std::optional<base::steady_time> blocked_since;
+    std::optional<held_step> held;
 };
 
 /// @brief An applied end of a run whose effect is not yet committed.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <deque>
 #include <functional>
@@ -394,7 +395,10 @@
 
     // planner_place.cpp
     void place_waiting_steps();
-    std::vector<ready_step> collect_ready_steps();
+    /// @brief Returns the ready steps, most urgent first, without those whose
+    /// account is at its maximum.
+    std::vector<ready_step>
+    collect_ready_steps(std::vector<ready_step>& at_maximum);
     /// @brief Returns false when the step has to wait for capacity or advice.
     bool place_step(const ready_step& step);
     /// @brief Returns whether most processors of a service's hosts are in use.
@@ -444,6 +448,14 @@
     std::vector<candidate> find_candidates(const ready_step& step,
                                            std::vector<candidate>& unknown);
 
+    // planner_held_back.cpp
+    /// @brief Records that no task of a step can start in this round.
+    void hold_back(const ready_step& step, hold_reason reason);
+    /// @brief Logs the steps that have been held back for longest, a few at a
+    /// time.
+    void log_held_steps(std::array<std::span<const ready_step>, 2> lists);
+    void log_held_step(const ready_step& step);
+
     // planner_idle_cpu.cpp
     /// @brief Stops the runs that use idle CPU time on a host, because a
     /// latency-sensitive task is assigned there or needs the processors.
@@ -528,6 +540,7 @@
     time_point created_;
     time_point next_sweep_;
     time_point next_lease_check_;
+    time_point next_held_log_;
 };
 
 } // namespace mustardwick::dispatch
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -164,7 +164,8 @@
            is_busy(job.context.queue->service);
 }
 
-std::vector<planner::ready_step> planner::collect_ready_steps()
+std::vector<planner::ready_step>
+planner::collect_ready_steps(std::vector<ready_step>& at_maximum)
 {
     std::vector<ready_step> out;
     const auto now = clock_.now();
@@ -223,11 +224,21 @@
                 is_waiting = true;
                 can_earn |= policy::value_class_of(inputs) !=
                             policy::value_class::past_late_deadline;
-                if (tasks_within_maximum(job, spec.size) == 0)
-                    ++round_.at_maximum;
-                else
-                    out.push_back({&job, at, int(it), queue, waiting, inputs,
-                                   policy::urgency_of(inputs)});
+                const ready_step step{&job,
+                                      at,
+                                      int(it),
+                                      queue,
+                                      waiting,
+                                      inputs,
+                                      policy::urgency_of(inputs)};
+                if (tasks_within_maximum(job, spec.size) > 0)
+                {
+                    out.push_back(step);
+                    continue;
+                }
+                ++round_.at_maximum;
+                hold_back(step, hold_reason::account_at_maximum);
+                at_maximum.push_back(step);
             }
         }
         if (is_waiting && !can_earn)
@@ -275,7 +286,8 @@
         ++round_.usable_hosts;
         round_.free_millicpus += host.free().millicpus;
     }
-    const auto steps = collect_ready_steps();
+    std::vector<ready_step> at_maximum;
+    const auto steps = collect_ready_steps(at_maximum);
     round_.active_jobs = active_.size();
     round_.ready_steps = steps.size();
     std::set<std::string_view> short_services;
@@ -292,6 +304,7 @@
         if (is_deferred)
         {
             ++round_.deferred;
+            hold_back(it, hold_reason::deferred);
             continue;
         }
         if (place_step(it))
@@ -304,6 +317,7 @@
             it.value_class() == policy::value_class::in_time)
             full_services.insert(service);
     }
+    log_held_steps({steps, at_maximum});
     const auto took = clock_.now() - started;
     round_.duration =
         std::chrono::duration_cast<std::chrono::microseconds>(took);
@@ -365,11 +379,20 @@
     const int affordable =
         std::min(step.waiting, tasks_within_maximum(*step.job, spec.size));
     if (affordable == 0 || (spec.is_gang && affordable < step.waiting))
+    {
+        hold_back(step, hold_reason::account_at_maximum);
         return true;
+    }
     if (!may_plan_ahead(step))
+    {
+        hold_back(step, hold_reason::behind_planned_steps);
         return false;
+    }
     if (step.queue->advice && !can_use_advice(step))
     {
+        hold_back(step, step.state().open_queries > 0
+                            ? hold_reason::waiting_for_advice
+                            : hold_reason::no_free_channel);
         reserve_capacity(step);
         return false;
     }
@@ -395,6 +418,8 @@
         if (!has_hosts_to_query)
             step.state().blocked_since =
                 step.state().blocked_since.value_or(clock_.now());
+        hold_back(step, is_whole ? hold_reason::kept_for_whole_start
+                                 : hold_reason::without_capacity);
         preempt_to_fit(step);
         reserve_capacity(step);
         return false;
@@ -420,6 +445,7 @@
             left_here = allowed[at].slots;
     }
     step.state().blocked_since.reset();
+    step.state().held.reset();
     mark_dirty(*step.job);
     return placed == affordable;
 }
