Split an advice query by the channels that it may use

Callers saw wide gang steps that could run and did not. A long query was split by all free channels, but only some of these take long queries: the parts beyond them were dropped, and the step asked about a fraction of the hosts that it needs. It then asked again, each time for the fixed cost of a query, while its first tickets expired.

A step now counts the channels that its queries may use, and distributes its hosts over these. The test fails without the change: of 48 hosts a step with one long channel among eight did not ask about all (by reading, about a quarter).

--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -474,6 +474,11 @@
     bool can_use_advice(const ready_step& step);
     /// @brief Returns whether an advice query may be sent for a step now.
     bool may_query(const ready_step& step) const;
+    static std::int64_t expected_query_ms(const ready_step& step,
+                                          std::size_t hosts);
+    /// @brief Returns the number of channels on which queries of a step can be
+    /// sent now.
+    std::size_t usable_channels(const ready_step& step) const;
     void hold_hosts(const advice_query& query);
     void send_query(const ready_step& step, std::vector<std::string> workers);
     /// @brief Removes the hosts that a gang step's query should not cover, and
--- a/src/mustardwick/dispatch/advice_test.cpp
+++ b/src/mustardwick/dispatch/advice_test.cpp
@@ -119,3 +119,35 @@
     // The bound allows for sanitizer builds.
     cr_assert_lt(elapsed / rounds, milliseconds(20));
 }
+
+namespace
+{
+
+/// Queries of queue "asked" are long, because of their fixed cost.
+jobs::configuration with_long_queries()
+{
+    auto out = make_configuration();
+    out.version = 2;
+    out.queues["asked"].advice = jobs::advice_cost{500, 1, 2000};
+    return out;
+}
+
+} // namespace
+
+// Guards against queries that are split for channels which long ones may not
+// use: of four queries one was sent, and the step never had all its tickets.
+Test(advice, asks_about_all_hosts_through_the_long_channels_that_are_free)
+{
+    constexpr std::size_t hosts = 48;
+    for (const std::size_t long_channels : {1, 2, 8})
+    {
+        planner_fixture cell(hosts);
+        cell.plan.set_configuration(with_long_queries());
+        cell.submit(make_job("j", "asked", {make_step(40, 20, true)}));
+        cell.clock.advance(milliseconds(200));
+        std::size_t queried = 0;
+        for (const auto& it : cell.plan.take_orders({8, long_channels}).queries)
+            queried += it.workers.size();
+        cr_assert_eq(queried, hosts, "%d long channels", int(long_channels));
+    }
+}
--- a/src/mustardwick/dispatch/planner_advice.cpp
+++ b/src/mustardwick/dispatch/planner_advice.cpp
@@ -118,6 +118,9 @@
         step.state().next_query = clock_.now() + query_check_interval;
         return;
     }
+    const auto channels = usable_channels(step);
+    if (channels == 0)
+        return;
     const auto size = charged_size(step.spec()).millicpus;
     const bool is_small =
         !unknown.empty() && size * small_tasks_per_host <=
@@ -143,7 +146,7 @@
     for (const auto& it : unknown)
         slots.push_back(std::max(1, it.slots));
     const auto wanted = policy::hosts_to_query(slots, need.tasks, need.share);
-    const auto queries = policy::advice_queries_for(wanted, advice_.free);
+    const auto queries = policy::advice_queries_for(wanted, channels);
     const auto n = std::min(wanted, queries * policy::max_hosts_per_query);
     for (std::size_t it = 0; it < queries; ++it)
     {
@@ -155,6 +158,20 @@
     }
 }
 
+std::int64_t planner::expected_query_ms(const ready_step& step,
+                                        std::size_t hosts)
+{
+    const auto& cost = *step.queue->advice;
+    return std::int64_t(cost.base_ms + cost.per_host_ms * double(hosts));
+}
+
+std::size_t planner::usable_channels(const ready_step& step) const
+{
+    if (expected_query_ms(step, policy::hosts_per_query) <= long_query_ms)
+        return advice_.free;
+    return std::min(advice_.free, advice_.free_for_long);
+}
+
 void planner::hold_hosts(const advice_query& query)
 {
     const auto until =
@@ -176,9 +193,7 @@
     query.step = step.step;
     const auto n = workers.size();
     query.workers = std::move(workers);
-    query.expected_ms =
-        std::int64_t(step.queue->advice->base_ms +
-                     step.queue->advice->per_host_ms * double(n));
+    query.expected_ms = expected_query_ms(step, n);
     if (advice_.free == 0 || (query.is_long() && advice_.free_for_long == 0))
         return;
     --advice_.free;
