Let gangs that wait long for an advice channel ask in turn

The channels for long queries went by urgency alone. Gangs whose tickets expire before all their tasks fit ask again and again, and the last in the order never got a channel. The hosts under suspicion were not what held these steps back.

While the service is not busy, every other long query now is that of the step that has waited longest for a channel, if it has waited for over 1 s. Urgency keeps the rest, and all of them in a busy service. Which hosts are quarantined does not change.

advice.lets_steps_that_wait_long_ask_in_turn fails without the change.

--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -56,6 +56,8 @@
     base::steady_time tickets_until;
     /// Advice queries in flight.
     int open_queries = 0;
+    /// Since when a query is to be sent but finds no channel.
+    std::optional<base::steady_time> channel_wanted_since;
     /// No query is sent before this time.
     base::steady_time next_query;
     /// Preempted capacity is kept for the step until this time.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -477,8 +477,17 @@
     static std::int64_t expected_query_ms(const ready_step& step,
                                           std::size_t hosts);
     /// @brief Returns the number of channels on which queries of a step can be
-    /// sent now.
+    /// sent now; one may be kept for the step that has waited longest.
     std::size_t usable_channels(const ready_step& step) const;
+    /// @brief Records that a step has a query to send, but no channel.
+    void want_channel(const ready_step& step) const;
+    /// @brief Finds the step that has waited longest for a channel for long
+    /// queries, of the services that are not busy.
+    ///
+    /// Load pattern: gang steps whose tickets expire before all their tasks
+    /// fit ask again and again; in order of urgency alone the last of them
+    /// would never be asked about.
+    void find_longest_waiting(std::span<const ready_step> steps);
     void hold_hosts(const advice_query& query);
     void send_query(const ready_step& step, std::vector<std::string> workers);
     /// @brief Removes the hosts that a gang step's query should not cover, and
@@ -532,6 +541,11 @@
     std::int64_t round_planned_millicpus_ = 0;
     /// Number of preemption searches in this round.
     int round_preemption_searches_ = 0;
+    /// Step that has waited longest for a channel, if it waits too long; valid
+    /// within one round.
+    const step_run* round_longest_waiting_ = nullptr;
+    /// The next long query is that of the step that has waited longest.
+    bool long_query_by_age_ = false;
     round_summary round_;
     advice_capacity advice_;
     std::uint64_t configuration_serial_ = 1;
--- a/src/mustardwick/dispatch/advice_test.cpp
+++ b/src/mustardwick/dispatch/advice_test.cpp
@@ -151,3 +151,42 @@
         cr_assert_eq(queried, hosts, "%d long channels", int(long_channels));
     }
 }
+
+// Guards against gangs that could run but are never asked about, because
+// others ask again and again: their tickets expire before all their tasks fit.
+Test(advice, lets_steps_that_wait_long_ask_in_turn)
+{
+    constexpr int hosts = 48;
+    planner_fixture cell(hosts);
+    cell.plan.set_configuration(with_long_queries());
+    cell.submit(make_job("filler", "plain", {make_step(12, host_cores)}));
+    cr_assert_eq(cell.run_round().starts.size(), 12);
+    for (int it = 0; it < 8; ++it)
+        cell.submit(make_job("wide" + std::to_string(it), "asked",
+                             {make_step(40, 20, true)}));
+    cell.clock.advance(milliseconds(100));
+    cell.submit(make_job("narrow", "asked", {make_step(2, 20, true)}));
+    // All jobs are past their late deadlines then.
+    cell.clock.advance(milliseconds(60'000));
+    std::vector<advice_query> open;
+    auto sent_at = cell.clock.now();
+    std::size_t started = 0;
+    for (int round = 0; round < 60 && started == 0; ++round)
+    {
+        auto out = cell.round(open.empty() ? 1 : 0);
+        started += out.starts.size();
+        for (const auto& it : out.starts)
+            cr_assert_eq(it.task.job, "narrow");
+        if (!open.empty() && cell.clock.now() - sent_at >= milliseconds(600))
+        {
+            cell.plan.advice_answered(open[0], allow_all(open[0]), sent_at);
+            open.clear();
+        }
+        if (!out.queries.empty())
+        {
+            open = std::move(out.queries);
+            sent_at = cell.clock.now();
+        }
+    }
+    cr_assert_eq(started, 2);
+}
--- a/src/mustardwick/dispatch/planner_advice.cpp
+++ b/src/mustardwick/dispatch/planner_advice.cpp
@@ -26,6 +26,9 @@
 /// Interval at which a gang step that needs no query examines all hosts again;
 /// between these checks it examines those with tickets.
 constexpr milliseconds query_check_interval{50};
+/// After this time without a channel, a step takes its turn regardless of its
+/// urgency.
+constexpr milliseconds channel_patience{1000};
 
 } // namespace
 
@@ -109,7 +112,11 @@
                            std::vector<candidate> unknown, int missing)
 {
     if (!may_query(step))
+    {
+        if (advice_.free == 0)
+            want_channel(step);
         return;
+    }
     query_need need{missing, allowed_share_[step.queue->name].value()};
     if (step.may_reserve())
         need = narrow_query(step, unknown, need);
@@ -120,7 +127,10 @@
     }
     const auto channels = usable_channels(step);
     if (channels == 0)
+    {
+        want_channel(step);
         return;
+    }
     const auto size = charged_size(step.spec()).millicpus;
     const bool is_small =
         !unknown.empty() && size * small_tasks_per_host <=
@@ -169,7 +179,38 @@
 {
     if (expected_query_ms(step, policy::hosts_per_query) <= long_query_ms)
         return advice_.free;
-    return std::min(advice_.free, advice_.free_for_long);
+    const auto n = std::min(advice_.free, advice_.free_for_long);
+    const bool is_kept = long_query_by_age_ &&
+                         round_longest_waiting_ != nullptr &&
+                         round_longest_waiting_ != &step.state();
+    return is_kept && n > 0 ? n - 1 : n;
+}
+
+void planner::want_channel(const ready_step& step) const
+{
+    auto& state = step.state();
+    if (state.open_queries == 0 && state.next_query <= clock_.now())
+        state.channel_wanted_since =
+            state.channel_wanted_since.value_or(clock_.now());
+}
+
+void planner::find_longest_waiting(std::span<const ready_step> steps)
+{
+    round_longest_waiting_ = nullptr;
+    const auto now = clock_.now();
+    for (const auto& it : steps)
+    {
+        const auto& state = it.state();
+        const auto& since = state.channel_wanted_since;
+        const bool is_waiting =
+            since && now - *since >= channel_patience && state.held &&
+            state.held->reason == hold_reason::no_free_channel &&
+            !is_busy(it.queue->service);
+        if (is_waiting &&
+            (round_longest_waiting_ == nullptr ||
+             *since < *round_longest_waiting_->channel_wanted_since))
+            round_longest_waiting_ = &state;
+    }
 }
 
 void planner::hold_hosts(const advice_query& query)
@@ -195,10 +236,19 @@
     query.workers = std::move(workers);
     query.expected_ms = expected_query_ms(step, n);
     if (advice_.free == 0 || (query.is_long() && advice_.free_for_long == 0))
+    {
+        want_channel(step);
         return;
+    }
     --advice_.free;
     if (query.is_long())
+    {
         --advice_.free_for_long;
+        long_query_by_age_ = !long_query_by_age_;
+    }
+    if (round_longest_waiting_ == &step.state())
+        round_longest_waiting_ = nullptr;
+    step.state().channel_wanted_since.reset();
     ++step.state().open_queries;
     if (step.spec().is_gang)
         hold_hosts(query);
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -290,6 +290,7 @@
     const auto steps = collect_ready_steps(at_maximum);
     round_.active_jobs = active_.size();
     round_.ready_steps = steps.size();
+    find_longest_waiting(steps);
     std::set<std::string_view> short_services;
     std::set<std::string_view> full_services;
     for (const auto& it : steps)
@@ -390,6 +391,7 @@
     }
     if (step.queue->advice && !can_use_advice(step))
     {
+        want_channel(step);
         hold_back(step, step.state().open_queries > 0
                             ? hold_reason::waiting_for_advice
                             : hold_reason::no_free_channel);
@@ -406,6 +408,8 @@
         step.queue->advice && (!unknown.empty() || !may_query(step));
     if (missing > 0 && !unknown.empty())
         query_advice(step, std::move(unknown), missing);
+    else
+        step.state().channel_wanted_since.reset();
     if (free_slots < affordable)
         ++round_.without_capacity;
     const bool is_whole =
@@ -418,8 +422,10 @@
         if (!has_hosts_to_query)
             step.state().blocked_since =
                 step.state().blocked_since.value_or(clock_.now());
-        hold_back(step, is_whole ? hold_reason::kept_for_whole_start
-                                 : hold_reason::without_capacity);
+        const auto lacking = step.state().channel_wanted_since
+                                 ? hold_reason::no_free_channel
+                                 : hold_reason::without_capacity;
+        hold_back(step, is_whole ? hold_reason::kept_for_whole_start : lacking);
         preempt_to_fit(step);
         reserve_capacity(step);
         return false;
