--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -393,12 +393,23 @@
     static double needed_speed_of(const ready_step& step);
     void apply_saved_speed(host_state& host);
 
-    // planner_place.cpp
-    void place_waiting_steps();
+    // planner_ready.cpp
     /// @brief Returns the ready steps, most urgent first, without those whose
     /// account is at its maximum.
     std::vector<ready_step>
     collect_ready_steps(std::vector<ready_step>& at_maximum);
+    const job_context& context_of(job_run& job);
+    static std::int64_t objective_of(const jobs::job& job,
+                                     const jobs::queue& queue,
+                                     double estimate_factor);
+    /// @brief Returns the expected time until a step can start.
+    std::int64_t start_delay_of(const job_run& job, const step_run& step) const;
+    /// @brief Returns whether a job's steps are left out of this round.
+    bool is_parked(const job_run& job) const;
+    policy::waiting_step urgency_inputs(job_run& job) const;
+
+    // planner_place.cpp
+    void place_waiting_steps();
     /// @brief Returns false when the step has to wait for capacity or advice.
     bool place_step(const ready_step& step);
     /// @brief Returns whether most processors of a service's hosts are in use.
@@ -406,19 +417,10 @@
     /// @brief Returns whether nearly all usable processors are in use.
     bool is_full(std::string_view service) const;
     processors processors_of(std::string_view service) const;
-    const job_context& context_of(job_run& job);
     int tasks_within_maximum(job_run& job, const policy::resources& size);
-    static std::int64_t objective_of(const jobs::job& job,
-                                     const jobs::queue& queue,
-                                     double estimate_factor);
-    /// @brief Returns the expected time until a step can start.
-    std::int64_t start_delay_of(const job_run& job, const step_run& step) const;
     /// @brief Returns whether a step is in time only if all its tasks start
     /// together.
     bool must_start_whole(const ready_step& step) const;
-    /// @brief Returns whether a job's steps are left out of this round.
-    bool is_parked(const job_run& job) const;
-    policy::waiting_step urgency_inputs(job_run& job) const;
     void assign(const ready_step& step, int index, int run,
                 const candidate& where);
 
--- a/src/mustardwick/dispatch/ready_step.hpp
+++ b/src/mustardwick/dispatch/ready_step.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 #include <tuple>
 
 #include "mustardwick/dispatch/planner.hpp"
@@ -12,6 +13,14 @@
 /// has to become durable and the order has to arrive first.
 inline constexpr std::chrono::milliseconds ticket_reserve{250};
 
+/// Run time that is assumed for steps without an estimate.
+inline constexpr std::int64_t default_estimate_ms = 1000;
+
+inline std::int64_t estimate_of(const jobs::step& step)
+{
+    return step.estimate_ms > 0 ? step.estimate_ms : default_estimate_ms;
+}
+
 /// @brief A host that could take tasks of a step in this round.
 struct planner::candidate
 {
