Take ports of the review's cell below the range of outgoing connections

One TROUBLE=0 run of case 6 had ended with exit 2 before; a port that was taken is suspected, not shown.

--- a/review/cell2.py
+++ b/review/cell2.py
@@ -9,13 +9,13 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
 import sys
 import tempfile
 import time
-import tomllib
 import traceback
 
 REPOSITORY = pathlib.Path(__file__).resolve().parent.parent
@@ -46,11 +46,18 @@
 
 
 def free_ports(count):
-    """Returns ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Returns ports that were free a moment ago, below the range from which the
+    kernel takes ports for outgoing connections."""
+    sockets = []
     try:
-        for it in sockets:
-            it.bind((HOST, 0))
+        while len(sockets) < count:
+            it = socket.socket()
+            sockets.append(it)
+            try:
+                it.bind((HOST, random.randrange(10_000, 32_000)))
+            except OSError:
+                sockets.remove(it)
+                it.close()
         return [it.getsockname()[1] for it in sockets]
     finally:
         for it in sockets:
@@ -87,6 +94,13 @@
     return re.sub(r"\{\{([^{}]+)\}\}", value, template)
 
 
+def read_role():
+    """Returns the texts of the only role of deploy/system.toml."""
+    text = (REPOSITORY / "deploy" / "system.toml").read_text(encoding="utf-8")
+    _, _, role = text.partition("[roles.")
+    return dict(re.findall(r'^(\w+) = "(.*)"$', role, re.MULTILINE))
+
+
 class Daemon:
     """A daemon process with its settings and its log."""
 
@@ -319,8 +333,7 @@
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.store = Store()
         self.store_port, advice_port = free_ports(2)
-        with (REPOSITORY / "deploy" / "system.toml").open("rb") as file:
-            role = next(iter(tomllib.load(file)["roles"].values()))
+        role = read_role()
         self.daemons = [Daemon(it, folder, role, self.store_port, advice_port,
                                self.bounds) for it in range(daemons)]
         self.workers = []
