--- a/review/cell2.py
+++ b/review/cell2.py
@@ -33,8 +33,8 @@
           "checkpoint_s": 0.5, "restore_ms": 250, "quota_overage": 0.1,
           "lease_ms": 3000}
 KEY = "key-of-tenant-a"
-PATH = "/work/"
-QUEUE = {"name": "work", "host": "soak.example", "path_prefix": PATH,
+PREFIX = "/jobs/"
+QUEUE = {"name": "work", "host": "soak.example", "path_prefix": PREFIX,
          "type": "unsafe", "timeout_ms": 3000, "target_latency_ms": 1000,
          "priority": 1, "service": "s", "attempts": 3, "stretch": 3.0,
          "public": False}
@@ -416,7 +416,7 @@
         status, answer = 0, {}
         try:
             status, answer = await http_stub.call(
-                HOST, daemon.callers, method, PATH + name, body,
+                HOST, daemon.callers, method, PREFIX + name, body,
                 [f"Authorization: Bearer {KEY}", f"Deadline-Ms: {deadline_ms}"],
                 timeout=deadline_ms / 1000)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
