--- a/include/mustardwick/aio/http_listener.hpp
+++ b/include/mustardwick/aio/http_listener.hpp
@@ -26,6 +26,9 @@
     /// deadline header; std::nullopt when the header is absent or invalid.
     std::optional<std::chrono::milliseconds> deadline;
     std::chrono::steady_clock::time_point received;
+    /// Time for which its last bytes had been in the socket's buffer when they
+    /// were read; 0 where the system does not tell.
+    std::chrono::milliseconds unread{0};
 };
 
 struct outgoing_response
--- a/include/mustardwick/aio/socket_options.hpp
+++ b/include/mustardwick/aio/socket_options.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -26,4 +28,17 @@
                        &timeout, sizeof timeout);
 }
 
+/// @brief Returns for how long the newest bytes of a connection have been in
+/// this host's hands; 0 where the system does not tell.
+inline std::chrono::milliseconds
+time_since_last_data(boost::asio::ip::tcp::socket& socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                     &size) != 0)
+        return std::chrono::milliseconds(0);
+    return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 } // namespace mustardwick::aio
--- a/include/mustardwick/entry/gateway.hpp
+++ b/include/mustardwick/entry/gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -47,6 +48,8 @@
     void query(const call_context& context);
     void cancel(const call_context& context);
     void count(const call_context& context);
+    /// @brief Returns the time since the call was received.
+    std::chrono::milliseconds waited(const call_context& context) const;
     /// @brief Logs what became of each attempt of a call without an answer.
     void log_unanswered(const call_context& context, std::string_view event,
                         const leader_result& result) const;
--- a/src/mustardwick/aio/http_listener_session.cpp
+++ b/src/mustardwick/aio/http_listener_session.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 
+#include "mustardwick/aio/socket_options.hpp"
 #include "mustardwick/base/log.hpp"
 
 namespace mustardwick::aio
@@ -284,6 +285,7 @@
     out.deadline = parse_milliseconds(message[owner_->deadline_header]);
     out.body = std::move(message.body());
     out.received = steady::now();
+    out.unread = time_since_last_data(stream_.socket());
     ++owner_->open_requests;
     answered_ = false;
     served_ = true;
--- a/src/mustardwick/entry/cell_leader_calls.cpp
+++ b/src/mustardwick/entry/cell_leader_calls.cpp
@@ -209,6 +209,9 @@
                                       {
                                           cancel(id, respond, true);
                                       });
+            if (!known)
+                log_event(log_level::info, "leader", "unknown_job_cancelled",
+                          {{"job", id}, {"epoch", head_.epoch}});
             respond(answer(
                 {known ? reply_status::done : reply_status::unknown_job}));
         });
--- a/src/mustardwick/entry/gateway.cpp
+++ b/src/mustardwick/entry/gateway.cpp
@@ -104,6 +104,9 @@
     std::string account;
     /// Configuration version that admitted the call.
     std::int64_t configuration = 0;
+    base::steady_time received;
+    /// Time that the call spent in the socket before it was received.
+    milliseconds unread{0};
     base::steady_time deadline;
     aio::responder respond;
 };
@@ -162,6 +165,8 @@
     context.queue = queue->name;
     context.account = *account;
     context.configuration = state_.configuration->version;
+    context.received = received_at;
+    context.unread = request.unread;
     context.deadline = received_at +
                        request.deadline.value_or(default_deadline) -
                        answer_margin;
@@ -179,6 +184,12 @@
     reply(json_response(not_found));
 }
 
+milliseconds gateway::waited(const call_context& context) const
+{
+    return std::chrono::duration_cast<milliseconds>(clock_.now() -
+                                                    context.received);
+}
+
 void gateway::log_unanswered(const call_context& context,
                              std::string_view event,
                              const leader_result& result) const
@@ -234,6 +245,7 @@
                   log_event(log_level::warning, "gateway", "job_refused",
                             {{"job", context.id},
                              {"account", context.account},
+                             {"unread_ms", context.unread.count()},
                              {"reason", refused}});
                   const bool over_share =
                       result.reply->status == reply_status::over_share;
@@ -247,6 +259,8 @@
                             {{"job", context.id},
                              {"queue", context.queue},
                              {"account", context.account},
+                             {"unread_ms", context.unread.count()},
+                             {"waited_ms", waited(context).count()},
                              {"configuration", context.configuration}});
                   return context.respond(json_response(ok));
               }
