--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -125,6 +125,9 @@
     bool specification_stored = false;
     /// The rows exist in the store.
     bool durable = false;
+    /// Some state of the job is part of a transaction that may still be carried
+    /// out.
+    bool in_flight = false;
     /// The tasks are stored in blocks, because one row cannot hold them.
     bool split = false;
     /// Blocks that the store holds, by name, with the value that was written
--- a/src/mustardwick/dispatch/durable_state_test.cpp
+++ b/src/mustardwick/dispatch/durable_state_test.cpp
@@ -121,6 +121,59 @@
         cr_assert_eq(it.task.job, "sent");
 }
 
+struct cancelled_job_case
+{
+    const char* name;
+    /// The submission is in the transaction in flight already.
+    bool is_sent;
+    /// The transaction with the cancellation is rejected and not sent again.
+    bool is_rejected;
+    std::size_t dropped;
+};
+
+// Guards against forgetting a cancelled job while its transaction is in flight,
+// because it is cancelled once more: a repeated submission then ran.
+Test(planner, keeps_a_job_that_is_cancelled_again_while_in_flight)
+{
+    const cancelled_job_case cases[] = {
+        {"cancelled before it was sent", false, false, 0},
+        {"cancelled after it was sent", true, false, 0},
+        {"nothing was carried out", false, true, 2},
+    };
+    for (const auto& it : cases)
+    {
+        planner_fixture cell;
+        int answers = 0;
+        const auto cancel = [&]
+        {
+            cell.plan.cancel("j",
+                             [&](cancel_result)
+                             {
+                                 ++answers;
+                             });
+        };
+        // Of a rejected transaction with several jobs, none is blamed.
+        for (const auto* id : {"j", "k"})
+            cell.plan.submit(make_job(id, "plain", {make_step(1, 1)}), [] {});
+        if (it.is_sent)
+            cr_assert_not(cell.plan.next_commit(96, 600'000).empty());
+        cancel();
+        if (!it.is_sent)
+            cr_assert_not(cell.plan.next_commit(96, 600'000).empty());
+        cancel();
+        if (it.is_rejected)
+            cell.plan.commit_rejected();
+        cr_assert_eq(cell.plan.reject_unsent_jobs(), it.dropped, "%s", it.name);
+        if (it.is_rejected)
+            continue;
+        cell.plan.commit_done();
+        cell.commit();
+        cr_assert_eq(answers, 2, "%s", it.name);
+        cr_assert_eq(cell.plan.state_of("j"), jobs::job_state::cancelled, "%s",
+                     it.name);
+    }
+}
+
 // Guards against acknowledging an end before it is durable: the worker discards
 // an acknowledged end.
 Test(planner, acknowledges_ends_only_when_durable)
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -242,8 +242,7 @@
     for (const auto& id : dirty_)
     {
         const auto& job = jobs_.at(id);
-        // Jobs in a completed transaction or in one in flight are kept.
-        if (!job.specification_stored && !job.durable)
+        if (!job.durable && !job.in_flight)
             ids.push_back(id);
     }
     drop_unstored(ids, "the store is unavailable");
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -46,6 +46,7 @@
     const bool final = is_final(job.record.state) && job.runs == 0;
     unfinished_change out;
     auto& effects = out.effects.emplace();
+    job.in_flight = true;
     effects.job = id;
     effects.state = job.record.state;
     effects.removed = job.removed;
@@ -194,6 +195,7 @@
         {
             job->reported_state = effects.state;
             job->durable = true;
+            job->in_flight = false;
             if (std::exchange(job->rejected_until, {}))
                 log_event(log_level::info, "planner", "job_resumed",
                           {{"job", effects.job}});
@@ -242,6 +244,7 @@
     if (job == nullptr)
         return;
     job->specification_stored = effects.specification_was_stored;
+    job->in_flight = false;
     for (const auto& it : effects.blocks)
         job->stored_blocks[it].clear();
     prepend(job->starts, std::move(effects.starts));
