--- a/include/mustardwick/base/clock.hpp
+++ b/include/mustardwick/base/clock.hpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 
 namespace mustardwick::base
 {
@@ -23,6 +24,14 @@
     virtual wall_time wall() const = 0;
 };
 
+/// @brief Returns the wall clock time in milliseconds since 1970.
+inline std::int64_t wall_ms(const clock& time)
+{
+    return std::chrono::duration_cast<milliseconds>(
+               time.wall().time_since_epoch())
+        .count();
+}
+
 /// @brief Reads the clocks of the operating system.
 class system_clock final : public clock
 {
--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -150,6 +150,8 @@
     /// Jobs beyond the share that have not started, in the last round.
     std::size_t waiting_surplus = 0;
     std::optional<policy::surplus_admission> surplus;
+    /// Jobs that the account has cancelled before they were submitted.
+    std::size_t withdrawn_jobs = 0;
 };
 
 } // namespace mustardwick::dispatch
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -50,13 +50,21 @@
     bool keeps_apart = false;
     /// Maximum size of the value of a stored row.
     std::size_t max_row_bytes = 48'000;
+    /// Maximum numbers of withdrawn jobs that are kept at a time, of all
+    /// accounts and of one. Each has a row of the store for the retention time.
+    std::size_t max_withdrawn_jobs = 10'000;
+    std::size_t max_withdrawn_jobs_of_account = 2000;
 };
 
 /// @brief Outcome of a cancellation.
 enum class cancel_result
 {
     cancelled,
-    unknown_job
+    /// There is no such job, and none will be accepted under its id for the
+    /// retention time.
+    unknown_job,
+    /// The cancellation is not stored; it may or may not take effect.
+    not_stored
 };
 
 /// @brief Counters of the last placement round that show why work waits.
@@ -146,8 +154,8 @@
     /// @name Callers
     /// @{
     /// @brief Submits a job; calls `done` once it is durable, or `on_refused`
-    /// when it is dropped before that. A repeated id refers to the existing
-    /// job.
+    /// when it is dropped before that or withdrawn already. A repeated id
+    /// refers to the existing job.
     void submit(
         jobs::job specification, accepted done, refused on_refused = [] {});
     /// @brief Returns std::nullopt if a new job is accepted, otherwise the time
@@ -160,10 +168,23 @@
     /// jobs.
     std::size_t reject_unsent_jobs();
     /// @brief Cancels a job; calls `done` once its final state is durable, also
-    /// when the job has ended otherwise, or with cancel_result::unknown_job
-    /// when there is no such job.
-    void cancel(const std::string& id, const cancelled& done);
+    /// when the job has ended otherwise.
+    ///
+    /// An unknown job becomes a withdrawn one: its submission may still be
+    /// under way, and must not take effect later. The job counts towards the
+    /// limit of the account that cancels it.
+    void cancel(const std::string& id, const cancelled& done,
+                const std::string& account = {});
+    /// @brief Returns std::nullopt for an unknown and for a withdrawn job.
     std::optional<jobs::job_state> state_of(const std::string& id) const;
+    /// @brief Returns for how long a job has been withdrawn; std::nullopt for
+    /// every other job.
+    std::optional<std::chrono::milliseconds>
+    withdrawn_for(const std::string& id) const;
+    std::size_t withdrawn_jobs() const
+    {
+        return withdrawn_jobs_;
+    }
     /// @brief Returns the number of open jobs of which no task has started, of
     /// the queue that has the given name now or had it when they were accepted.
     std::size_t waiting_jobs(std::string_view queue) const;
@@ -273,11 +294,19 @@
     void finish_job(job_run& job, jobs::job_state state);
     void drop_expired_jobs();
     account_usage& usage_of(const std::string& account);
+    void erase_job(const std::string& id);
     /// @brief Removes jobs that the store does not hold and refuses their
     /// callers.
     void drop_unstored(const std::vector<std::string>& ids,
                        std::string_view reason);
 
+    // planner_cancel.cpp
+    /// @brief Adds a withdrawn job; returns nullptr when there are too many.
+    job_run* withdraw(const std::string& id, const std::string& account);
+    /// @brief Adds a withdrawn job to the numbers that are limited, or takes it
+    /// out of them. Those of a former leader count as of no account.
+    void count_withdrawn(const job_run& job, int change);
+
     // planner_queues.cpp
     /// @brief Brings the queues of open jobs in line with the configuration.
     void follow_configuration();
@@ -523,6 +552,7 @@
     std::map<std::string, worker_speed_row, std::less<>> saved_speeds_;
     std::map<std::string, account_usage, std::less<>> accounts_;
     std::map<std::string, policy::allowed_share, std::less<>> allowed_share_;
+    std::size_t withdrawn_jobs_ = 0;
     std::deque<std::string> dirty_;
     /// Effects of the transaction in flight.
     std::optional<std::vector<job_effects>> committing_;
--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -124,8 +124,9 @@
                      const aio::peer_responder& respond) const;
     void query(const std::string& id, const aio::peer_responder& respond,
                bool is_confirmed);
-    void cancel(const std::string& id, const aio::peer_responder& respond,
-                bool is_confirmed);
+    void cancel(const job_query& call, const aio::peer_responder& respond);
+    /// @brief Returns the reply to a call that the store does not confirm.
+    job_reply unconfirmed_reply() const;
     /// @brief Calls a function once the store has confirmed that this daemon
     /// leads now. While the store fails, the caller is told to retry instead.
     void when_confirmed(const aio::peer_responder& respond,
--- a/include/mustardwick/entry/gateway.hpp
+++ b/include/mustardwick/entry/gateway.hpp
@@ -36,8 +36,10 @@
         wire::message_type, const std::string& payload,
         base::steady_time deadline, std::function<void(leader_result)>)>;
 
+    /// @brief `name` is that of this daemon.
     gateway(const base::clock& time, base::metrics& metrics,
-            const operator_state& state, leader_call call);
+            const operator_state& state, leader_call call,
+            std::string name = {});
 
     void handle(const aio::incoming_request& request, aio::responder respond);
 
@@ -60,6 +62,7 @@
     base::metrics& metrics_;
     const operator_state& state_;
     leader_call call_;
+    std::string name_;
 };
 
 } // namespace mustardwick::entry
--- a/include/mustardwick/entry/messages.hpp
+++ b/include/mustardwick/entry/messages.hpp
@@ -160,17 +160,38 @@
     store_unavailable,
     /// The job is beyond its account's share and could not start in time; it
     /// was not accepted and never runs.
-    over_share
+    over_share,
+    /// The job was cancelled before it was submitted; it was not accepted and
+    /// never runs.
+    withdrawn
+};
+
+/// @brief A job on its way from the gateway that received it to the leader.
+struct submission
+{
+    jobs::job job;
+    std::string gateway{};
+    /// Time that the request spent in the gateway's socket before it was read.
+    std::int64_t unread_ms = 0;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(job, gateway, unread_ms);
+    }
 };
 
+/// @brief A query or a cancellation of a job.
 struct job_query
 {
     std::string id;
+    /// Client account of the caller.
+    std::string account{};
 
     template <typename Archive>
     void serialize(Archive& ar)
     {
-        ar(id);
+        ar(id, account);
     }
 };
 
--- a/include/mustardwick/entry/open_calls.hpp
+++ b/include/mustardwick/entry/open_calls.hpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <string>
@@ -63,17 +64,25 @@
 
     open_calls_summary summary(base::steady_time now) const
     {
-        open_calls_summary out;
-        for (const auto& [id, it] : calls_->open)
+        return summary_of(calls_->open, now);
+    }
+
+    /// @brief Answers all open calls of a kind. Returns these calls.
+    open_calls_summary answer_all(std::string_view kind,
+                                  const std::string& answer,
+                                  base::steady_time now)
+    {
+        std::map<std::uint64_t, call> taken;
+        for (auto it = calls_->open.begin(); it != calls_->open.end();)
         {
-            ++out.by_kind[it.kind];
-            ++out.total;
-            out.oldest =
-                std::max(out.oldest,
-                         std::chrono::duration_cast<std::chrono::milliseconds>(
-                             now - it.since));
+            const auto next = std::next(it);
+            if (it->second.kind == kind)
+                taken.insert(calls_->open.extract(it));
+            it = next;
         }
-        return out;
+        for (const auto& [id, it] : taken)
+            it.respond(answer);
+        return summary_of(taken, now);
     }
 
     /// @brief Answers all open calls with an empty payload: whether they took
@@ -95,6 +104,23 @@
         aio::peer_responder respond;
     };
 
+    static open_calls_summary
+    summary_of(const std::map<std::uint64_t, call>& calls,
+               base::steady_time now)
+    {
+        open_calls_summary out;
+        for (const auto& [id, it] : calls)
+        {
+            ++out.by_kind[it.kind];
+            ++out.total;
+            out.oldest =
+                std::max(out.oldest,
+                         std::chrono::duration_cast<std::chrono::milliseconds>(
+                             now - it.since));
+        }
+        return out;
+    }
+
     struct state
     {
         std::map<std::uint64_t, call> open;
--- a/include/mustardwick/jobs/record.hpp
+++ b/include/mustardwick/jobs/record.hpp
@@ -62,6 +62,9 @@
     }
 };
 
+/// Value of job_record::occurrences_opened that marks a withdrawn job.
+inline constexpr std::int64_t never_submitted = -1;
+
 /// @brief Durable progress of one job.
 struct job_record
 {
@@ -80,4 +83,14 @@
     }
 };
 
+/// @brief Returns whether a job was cancelled before it was submitted.
+///
+/// No such job exists for its callers, and a submission of its id is refused.
+/// Earlier releases read its record as that of a cancelled job.
+inline bool is_withdrawn(const job_record& record)
+{
+    return record.state == job_state::cancelled &&
+           record.occurrences_opened == never_submitted;
+}
+
 } // namespace mustardwick::jobs
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -12,6 +12,7 @@
 
 using base::log_event;
 using base::log_level;
+using base::wall_ms;
 using std::chrono::milliseconds;
 
 /// Interval between sweeps for jobs whose retention has ended.
@@ -22,13 +23,6 @@
 constexpr std::size_t max_open_occurrences = 500;
 constexpr std::size_t max_open_tasks = 4096;
 
-std::int64_t wall_ms(const base::clock& time)
-{
-    return std::chrono::duration_cast<milliseconds>(
-               time.wall().time_since_epoch())
-        .count();
-}
-
 } // namespace
 
 planner::planner(const base::clock& time, planner_options options,
@@ -133,6 +127,8 @@
     const auto id = specification.id;
     if (auto* known = find_job(id))
     {
+        if (jobs::is_withdrawn(known->record))
+            return on_refused();
         // A known id refers to the same job, also when its caller retries.
         if (known->durable)
             return done();
@@ -179,6 +175,7 @@
     job.stored_blocks = std::move(blocks);
     for (std::size_t it = 0; it < job.record.open.size(); ++it)
         job.steps.emplace_back(job.specification.steps.size());
+    count_withdrawn(job, 1);
     if (is_final(job.record.state))
         return;
     active_[job.number] = &job;
@@ -209,33 +206,6 @@
     placement_due_ = true;
 }
 
-void planner::cancel(const std::string& id, const cancelled& done)
-{
-    auto* job = find_job(id);
-    if (job == nullptr)
-        return done(cancel_result::unknown_job);
-    // A final state that is reported is durable.
-    if (is_final(job->reported_state))
-        return done(cancel_result::cancelled);
-    job->replies.push_back({[done]
-                            {
-                                done(cancel_result::cancelled);
-                            },
-                            [done]
-                            {
-                                done(cancel_result::unknown_job);
-                            }});
-    if (!is_final(job->record.state))
-    {
-        finish_job(*job, jobs::job_state::cancelled);
-        log_event(log_level::info, "planner", "job_cancelled", {{"job", id}});
-    }
-    mark_dirty(*job);
-    // The rows of a cancelled job are small.
-    if (suspended_.erase(id) > 0)
-        dirty_.push_back(id);
-}
-
 std::size_t planner::reject_unsent_jobs()
 {
     std::vector<std::string> ids;
@@ -249,6 +219,15 @@
     return ids.size();
 }
 
+void planner::erase_job(const std::string& id)
+{
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end())
+        return;
+    count_withdrawn(it->second, -1);
+    jobs_.erase(it);
+}
+
 void planner::drop_unstored(const std::vector<std::string>& ids,
                             std::string_view reason)
 {
@@ -263,7 +242,7 @@
         std::move(job.replies.begin(), job.replies.end(),
                   std::back_inserter(replies));
         active_.erase(job.number);
-        jobs_.erase(id);
+        erase_job(id);
         log_event(log_level::warning, "planner", "job_dropped",
                   {{"job", id}, {"reason", reason}});
     }
@@ -279,7 +258,7 @@
 std::optional<jobs::job_state> planner::state_of(const std::string& id) const
 {
     const auto it = jobs_.find(id);
-    if (it == jobs_.end())
+    if (it == jobs_.end() || jobs::is_withdrawn(it->second.record))
         return std::nullopt;
     return it->second.reported_state;
 }
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -201,7 +201,7 @@
                           {{"job", effects.job}});
         }
         if (effects.removed)
-            jobs_.erase(effects.job);
+            erase_job(effects.job);
         std::copy(effects.starts.begin(), effects.starts.end(),
                   std::back_inserter(starts));
     }
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -398,6 +398,7 @@
          {"deferred", round.deferred},
          {"parked_jobs", round.parked_jobs},
          {"surplus_jobs", round.surplus_jobs},
+         {"withdrawn_jobs", planner_.withdrawn_jobs()},
          {"interfering_pairs", planner_.interfering_pairs()},
          {"disturbed_hosts", round.disturbed_hosts},
          {"speed_deviation_percent", percent_of(planner_.speed_deviation())},
--- a/src/mustardwick/entry/cell_leader_calls.cpp
+++ b/src/mustardwick/entry/cell_leader_calls.cpp
@@ -31,6 +31,8 @@
 constexpr std::string_view submit_call = "submit";
 constexpr std::string_view query_call = "query";
 constexpr std::string_view cancel_call = "cancel";
+/// The cancellation of a job that the leader does not know.
+constexpr std::string_view withdraw_call = "withdraw";
 
 std::string answer(const job_reply& reply)
 {
@@ -59,17 +61,29 @@
 bool cell_leader::submit(const std::string& payload,
                          const aio::peer_responder& respond)
 {
-    auto job = wire::decode<jobs::job>(payload);
-    if (!job)
+    auto received = wire::decode<submission>(payload);
+    if (!received)
         return false;
-    const bool is_known = planner_.state_of(job->id).has_value();
+    auto& job = received->job;
+    if (const auto since = planner_.withdrawn_for(job.id))
+    {
+        log_event(log_level::warning, "leader", "withdrawn_job_submitted",
+                  {{"job", job.id},
+                   {"gateway", received->gateway},
+                   {"unread_ms", received->unread_ms},
+                   {"forwarded_ms", base::wall_ms(env_.clock) - job.arrived_ms},
+                   {"withdrawn_ms", since->count()}});
+        respond(answer({reply_status::withdrawn}));
+        return true;
+    }
+    const bool is_known = planner_.state_of(job.id).has_value();
     // The gateway's configuration may be older or newer than this one. Without
     // the terms of its queue the job would never run.
-    if (!is_known && !configured_queues_.contains(job->queue))
+    if (!is_known && !configured_queues_.contains(job.queue))
         return false;
     const auto tracked = calls_.track(submit_call, env_.clock.now(), respond);
     if (!is_known)
-        if (const auto retry_after = planner_.refuse_surplus(*job))
+        if (const auto retry_after = planner_.refuse_surplus(job))
         {
             job_reply out{reply_status::over_share};
             out.retry_after_ms = retry_after->count();
@@ -90,7 +104,7 @@
         return true;
     }
     planner_.submit(
-        std::move(*job),
+        std::move(job),
         [tracked]
         {
             tracked(answer({reply_status::done}));
@@ -125,7 +139,11 @@
         return false;
     const auto now = env_.clock.now();
     if (type == message_type::cancel_job)
-        cancel(call->id, calls_.track(cancel_call, now, respond), false);
+    {
+        const bool is_known = planner_.state_of(call->id).has_value();
+        const auto kind = is_known ? cancel_call : withdraw_call;
+        cancel(*call, calls_.track(kind, now, respond));
+    }
     else
         query(call->id, calls_.track(query_call, now, respond), false);
     return true;
@@ -195,29 +213,35 @@
     respond(answer(out));
 }
 
-void cell_leader::cancel(const std::string& id,
-                         const aio::peer_responder& respond, bool is_confirmed)
+void cell_leader::cancel(const job_query& call,
+                         const aio::peer_responder& respond)
 {
     planner_.cancel(
-        id,
-        [this, id, respond, is_confirmed](dispatch::cancel_result result)
+        call.id,
+        [this, id = call.id, respond](dispatch::cancel_result result)
         {
-            const bool known = result == dispatch::cancel_result::cancelled;
-            if (!known && !is_confirmed)
-                return when_confirmed(respond,
-                                      [this, id, respond]
-                                      {
-                                          cancel(id, respond, true);
-                                      });
+            using dispatch::cancel_result;
+            if (result == cancel_result::not_stored)
+                return respond(answer(unconfirmed_reply()));
+            const bool known = result == cancel_result::cancelled;
             if (!known)
                 log_event(log_level::info, "leader", "unknown_job_cancelled",
                           {{"job", id}, {"epoch", head_.epoch}});
             respond(answer(
                 {known ? reply_status::done : reply_status::unknown_job}));
-        });
+        },
+        call.account);
+    refuse_unconfirmed();
     schedule_work();
 }
 
+job_reply cell_leader::unconfirmed_reply() const
+{
+    job_reply out{reply_status::not_leader};
+    out.retry_after_ms = store_retry_after().value_or(min_retry_after).count();
+    return out;
+}
+
 void cell_leader::when_confirmed(const aio::peer_responder& respond,
                                  std::function<void()> then)
 {
@@ -228,17 +252,19 @@
 
 void cell_leader::refuse_unconfirmed()
 {
-    const auto retry_after = store_retry_after();
-    if (!retry_after)
+    if (!store_retry_after())
         return;
-    job_reply out{reply_status::not_leader};
-    out.retry_after_ms = retry_after->count();
+    const auto out = answer(unconfirmed_reply());
     const auto now = env_.clock.now();
+    const auto withdrawals = calls_.answer_all(withdraw_call, out, now);
+    refused_unconfirmed_ += withdrawals.total;
+    longest_unconfirmed_ = std::max<base::steady_time::duration>(
+        longest_unconfirmed_, withdrawals.oldest);
     for (const auto& it : std::exchange(unconfirmed_, {}))
     {
         ++refused_unconfirmed_;
         longest_unconfirmed_ = std::max(longest_unconfirmed_, now - it.since);
-        it.respond(answer(out));
+        it.respond(out);
     }
 }
 
--- a/src/mustardwick/entry/entry_node.cpp
+++ b/src/mustardwick/entry/entry_node.cpp
@@ -49,7 +49,8 @@
                base::steady_time deadline, auto done)
         {
             call_leader(type, payload, deadline, std::move(done));
-        });
+        },
+        options.name);
     callers = std::make_unique<aio::http_listener>(
         io, options.callers, platform::deadline_header, guard,
         [this](const auto& request, auto respond)
--- a/src/mustardwick/entry/gateway.cpp
+++ b/src/mustardwick/entry/gateway.cpp
@@ -62,11 +62,34 @@
 /// Returns why the leader did not accept a job; empty when it did.
 std::string_view refusal_reason(reply_status status)
 {
-    if (status == reply_status::store_unavailable)
-        return "the store is unavailable";
-    if (status == reply_status::over_share)
+    switch (status)
+    {
+    case reply_status::done:
+        return {};
+    case reply_status::over_share:
         return "the account exceeds its share of a busy cell";
-    return {};
+    case reply_status::withdrawn:
+        return "the job was cancelled before it was accepted";
+    default:
+        return "the store is unavailable";
+    }
+}
+
+/// Returns the answer to a submission that the leader did not accept.
+aio::outgoing_response refusal_response(const job_reply& reply)
+{
+    const milliseconds retry_after(reply.retry_after_ms);
+    switch (reply.status)
+    {
+    case reply_status::over_share:
+        return retry_later(retry_after, too_many_requests);
+    case reply_status::withdrawn:
+        // Under this id the job can never run, so there is no time to retry.
+        return error_response(gone, "the job was cancelled before it was "
+                                    "accepted; submit it under another id");
+    default:
+        return retry_later(retry_after);
+    }
 }
 
 /// Returns when to retry a call about a job that no leader could answer;
@@ -112,8 +135,10 @@
 };
 
 gateway::gateway(const base::clock& time, base::metrics& metrics,
-                 const operator_state& state, leader_call call)
-    : clock_(time), metrics_(metrics), state_(state), call_(std::move(call))
+                 const operator_state& state, leader_call call,
+                 std::string name)
+    : clock_(time), metrics_(metrics), state_(state), call_(std::move(call)),
+      name_(std::move(name))
 {
 }
 
@@ -218,23 +243,21 @@
     job->id = context.id;
     job->queue = context.queue;
     job->account = context.account;
-    job->arrived_ms = std::chrono::duration_cast<milliseconds>(
-                          clock_.wall().time_since_epoch())
-                          .count();
-    const auto specification = wire::encode(*job);
-    if (specification.size() > max_specification_bytes)
+    job->arrived_ms = base::wall_ms(clock_);
+    const auto bytes = wire::encode(*job).size();
+    if (bytes > max_specification_bytes)
     {
         log_event(log_level::warning, "gateway", "job_refused",
                   {{"job", context.id},
-                   {"bytes", specification.size()},
+                   {"bytes", bytes},
                    {"max_bytes", max_specification_bytes}});
         return context.respond(error_response(
             content_too_large,
-            "the job takes " + std::to_string(specification.size()) +
-                " bytes, at most " + std::to_string(max_specification_bytes) +
-                " can be stored"));
+            "the job takes " + std::to_string(bytes) + " bytes, at most " +
+                std::to_string(max_specification_bytes) + " can be stored"));
     }
-    call_(message_type::submit_job, specification, context.deadline,
+    const submission message{std::move(*job), name_, context.unread.count()};
+    call_(message_type::submit_job, wire::encode(message), context.deadline,
           [this, context](const leader_result& result)
           {
               const auto refused = result.reply
@@ -247,11 +270,7 @@
                              {"account", context.account},
                              {"unread_ms", context.unread.count()},
                              {"reason", refused}});
-                  const bool over_share =
-                      result.reply->status == reply_status::over_share;
-                  return context.respond(retry_later(
-                      milliseconds(result.reply->retry_after_ms),
-                      over_share ? too_many_requests : unavailable));
+                  return context.respond(refusal_response(*result.reply));
               }
               if (result.reply)
               {
@@ -275,7 +294,8 @@
 
 void gateway::query(const call_context& context)
 {
-    call_(message_type::query_job, wire::encode(job_query{context.id}),
+    call_(message_type::query_job,
+          wire::encode(job_query{context.id, context.account}),
           context.deadline,
           [this, context](const leader_result& result)
           {
@@ -293,7 +313,8 @@
 
 void gateway::cancel(const call_context& context)
 {
-    call_(message_type::cancel_job, wire::encode(job_query{context.id}),
+    call_(message_type::cancel_job,
+          wire::encode(job_query{context.id, context.account}),
           context.deadline,
           [this, context](const leader_result& result)
           {
--- a/src/mustardwick/entry/gateway_test.cpp
+++ b/src/mustardwick/entry/gateway_test.cpp
@@ -50,6 +50,56 @@
     bool is_forwarded;
 };
 
+struct refusal_case
+{
+    job_reply reply;
+    int status;
+    int retry_after_ms;
+};
+
+// Guards against a success for a job that the leader did not accept.
+Test(gateway, answers_submissions_as_the_leader_does)
+{
+    base::set_up_log("test", base::log_level::error);
+    constexpr auto queued = jobs::job_state::queued;
+    const std::array cases = {
+        refusal_case{{reply_status::done}, 200, 0},
+        refusal_case{
+            {reply_status::store_unavailable, queued, 0, 1700}, 503, 1700},
+        refusal_case{{reply_status::over_share, queued, 0, 900}, 429, 900},
+        refusal_case{{reply_status::withdrawn}, 410, 0},
+        // Of a later release.
+        refusal_case{{reply_status(200), queued, 0, 1000}, 503, 1000},
+    };
+    for (const auto& it : cases)
+    {
+        base::manual_clock clock;
+        base::metrics metrics;
+        const auto state = one_public_queue();
+        gateway handler(clock, metrics, state,
+                        [&](wire::message_type, const std::string&,
+                            base::steady_time, const auto& done)
+                        {
+                            done({it.reply, true});
+                        });
+        aio::incoming_request request;
+        request.method = "POST";
+        request.host = "h";
+        request.target = "/q/0123456789abcdef";
+        request.body = chained_steps(1);
+        std::optional<aio::outgoing_response> response;
+        handler.handle(request,
+                       [&](aio::outgoing_response out)
+                       {
+                           response = std::move(out);
+                       });
+        cr_assert(response.has_value());
+        cr_assert_eq(response->status, it.status);
+        cr_assert_eq(response->retry_after.value_or(milliseconds(0)),
+                     milliseconds(it.retry_after_ms));
+    }
+}
+
 // Guards against callers that wait for a job that can never be stored.
 Test(gateway, refuses_jobs_that_cannot_be_stored_at_once)
 {
--- a/src/mustardwick/entry/open_calls_test.cpp
+++ b/src/mustardwick/entry/open_calls_test.cpp
@@ -33,6 +33,26 @@
     cr_assert_eq(calls.abandon(begin).total, 0);
 }
 
+// Guards against answering calls of another kind, or one call twice.
+Test(open_calls, of_one_kind_are_answered_together)
+{
+    open_calls calls;
+    std::vector<std::string> answers;
+    const auto respond = [&](std::string answer)
+    {
+        answers.push_back(std::move(answer));
+    };
+    const base::steady_time begin{std::chrono::seconds(1)};
+    const auto pending = calls.track("withdraw", begin, respond);
+    calls.track("cancel", begin, respond);
+    calls.track("withdraw", begin, respond);
+    cr_assert_eq(calls.answer_all("withdraw", "later", begin).total, 2);
+    cr_assert_eq(answers.size(), 2);
+    pending("stored");
+    cr_assert_eq(answers.size(), 2);
+    cr_assert_eq(calls.summary(begin).kinds(), "cancel x1");
+}
+
 // Guards against calls without an answer of which the log names neither the
 // kind nor the time that they waited (issue 37).
 Test(open_calls, are_counted_by_kind)
--- a/src/mustardwick/entry/stale_leader_test.cpp
+++ b/src/mustardwick/entry/stale_leader_test.cpp
@@ -88,9 +88,9 @@
             state.configuration->queues[queue].name = queue;
             cell.leader->configure(state);
             if (it.is_repeated)
-                cell.call(message_type::submit_job, job);
+                cell.call(message_type::submit_job, submission{job});
         }
-        cr_assert_eq(cell.call(message_type::submit_job, job), it.accepted,
-                     "%s", it.name);
+        cr_assert_eq(cell.call(message_type::submit_job, submission{job}),
+                     it.accepted, "%s", it.name);
     }
 }
--- a/src/mustardwick/entry/unanswered_calls_test.cpp
+++ b/src/mustardwick/entry/unanswered_calls_test.cpp
@@ -36,7 +36,7 @@
 bool take(leader_fixture& cell, message_type type)
 {
     if (type == message_type::submit_job)
-        return cell.call(type, one_task_job());
+        return cell.call(type, submission{one_task_job()});
     return cell.call(type, job_query{job_id});
 }
 
--- a/testing/soak/checks_test.py
+++ b/testing/soak/checks_test.py
@@ -15,7 +15,7 @@
 from faults import ActiveFaults
 from idle_check import AFTER_FAULT_S, LONGEST_GAP_S, LONGEST_WAIT_S, IdleCheck
 from store import Store
-from workers import ATTEMPTS, Promises, Worker
+from workers import ATTEMPTS, CANCEL_S, Promises, Worker
 
 HOST = "127.0.0.1"
 FIRST_PORT = 30_050
@@ -106,6 +106,21 @@
     return [] if promises.violations else ["two runs were not counted"]
 
 
+async def counts_starts_of_cancelled_jobs_that_come_too_late():
+    """Guards against a checker that does not see a job run after its
+    cancelling was answered, or counts a start within the allowed time."""
+    failures = []
+    for age_s in (CANCEL_S - 1, CANCEL_S + 0.1):
+        promises, workers = await make_workers(1)
+        promises.jobs[NAME].update(
+            cancelled=True, cancel_acknowledged=time.monotonic() - age_s)
+        await start_run(workers[0], 1)
+        if bool(promises.violations) != (age_s > CANCEL_S):
+            failures.append(f"{age_s:.1f} s: {promises.violations}")
+        workers[0].listener.close()
+    return failures
+
+
 async def tells_waiting_jobs_from_jobs_that_cannot_run():
     """Guards against an idle check that blames the daemons for other causes."""
     failures = []
@@ -260,6 +275,7 @@
 TESTS = [counts_two_runs_behind_a_faulty_path,
          counts_acknowledged_ends_unless_the_lease_has_lapsed,
          counts_starts_that_are_not_answered,
+         counts_starts_of_cancelled_jobs_that_come_too_late,
          tells_waiting_jobs_from_jobs_that_cannot_run,
          finds_daemons_that_never_apply_a_configuration,
          finds_daemons_that_do_not_answer_in_calm_time,
--- a/testing/soak/workers.py
+++ b/testing/soak/workers.py
@@ -4,6 +4,7 @@
 import asyncio
 import collections
 import datetime
+import math
 import random
 import time
 import zlib
@@ -13,6 +14,8 @@
 STOP_TIME_S = 0.3
 POISONED_RUN_S = 0.3
 MAX_LEASE_MS = 6000
+# A task of a job may start for this long after its cancelling was answered.
+CANCEL_S = 3.0
 # Of the queues' tasks, before their job has failed.
 ATTEMPTS = 4
 CPU = 8000
@@ -65,6 +68,10 @@
         job = self.jobs.get(task.split(".")[0])
         if job is None or payload != job["spec"]:
             return self.violate(f"UNASKED {task} on {worker.id}")
+        late_s = time.monotonic() - job.get("cancel_acknowledged", math.inf)
+        if late_s > CANCEL_S:
+            self.violate(f"UNASKED {task} run {run} on {worker.id} "
+                         f"{late_s:.2f} s after the cancelling was answered")
         # Refused jobs are checked at the end of the run: a task may start
         # before the caller receives the response of the accepted attempt.
         job["started"] = True
@@ -202,9 +209,12 @@
             self.promises.violate(
                 f"LIMIT {body['task']} on {self.id}: {used} + {step['cpu']}")
         self.promises.started(self, body["task"], body["run"], body["spec"])
+        job = self.promises.jobs[body["task"].split(".")[0]]
         how = "failed" if random.random() < 0.03 else "done"
+        if job.get("never_fails"):
+            how = "done"
         run_s = step["run_s"]
-        if self.promises.jobs[body["task"].split(".")[0]]["poisoned"]:
+        if job["poisoned"]:
             how, run_s = "failed", min(run_s, POISONED_RUN_S)
         self.runs[key] = {"cpu": step["cpu"], "how": how,
                           "ends": time.monotonic() + run_s}
