--- a/src/mustardwick/aio/http_listener_test.cpp
+++ b/src/mustardwick/aio/http_listener_test.cpp
@@ -1,6 +1,9 @@
 #include "mustardwick/aio/http_listener.hpp"
 
+#include <chrono>
+#include <optional>
 #include <string>
+#include <thread>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -130,3 +133,41 @@
         cr_assert(server.is_closed(), "%s", it.name);
     }
 }
+
+struct age_case
+{
+    const char* name;
+    /// How long the request is in the socket before the process reads it.
+    milliseconds pause;
+    std::uint16_t port;
+};
+
+// Guards against taking the time at which a process read a request for that of
+// its arrival: the process may have been stopped in between.
+Test(http_listener, tells_how_long_a_request_was_unread)
+{
+    base::set_up_log("test", base::log_level::error);
+    const age_case cases[] = {{"read at once", milliseconds(0), 18'765},
+                              {"process stopped", milliseconds(400), 18'767}};
+    for (const auto& it : cases)
+    {
+        asio::io_context io;
+        std::optional<milliseconds> unread;
+        http_listener server(io, {"127.0.0.1", it.port}, "Deadline-Ms",
+                             aio::test::ample_guard(),
+                             [&](const auto& received, const auto& respond)
+                             {
+                                 unread = received.unread;
+                                 respond({200, "{}", "application/json", {}});
+                             });
+        cr_assert(server.start());
+        asio::ip::tcp::socket client(io);
+        client.connect({asio::ip::make_address("127.0.0.1"), it.port});
+        asio::write(client, asio::buffer(request));
+        std::this_thread::sleep_for(it.pause);
+        cr_assert(is_answered(io, client), "%s", it.name);
+        cr_assert(unread.has_value(), "%s", it.name);
+        // The system counts in ticks of up to 10 ms.
+        cr_assert_geq(*unread, it.pause - milliseconds(20), "%s", it.name);
+    }
+}
--- a/src/mustardwick/entry/gateway.cpp
+++ b/src/mustardwick/entry/gateway.cpp
@@ -38,6 +38,9 @@
 constexpr milliseconds answer_margin{150};
 /// Deadline of requests that specify none.
 constexpr milliseconds default_deadline{3000};
+/// A submission does not outlive the record of its cancellation, which is kept
+/// for the retention time.
+constexpr milliseconds max_deadline{60'000};
 /// Retry delay for callers when no leader was found; the next one is usually
 /// elected by then.
 constexpr milliseconds failover_retry_after{1000};
@@ -192,14 +195,24 @@
     context.configuration = state_.configuration->version;
     context.received = received_at;
     context.unread = request.unread;
-    context.deadline = received_at +
-                       request.deadline.value_or(default_deadline) -
-                       answer_margin;
+    // Callers wait from the time at which they sent the request.
+    context.deadline =
+        received_at - request.unread +
+        std::min(request.deadline.value_or(default_deadline), max_deadline) -
+        answer_margin;
     context.respond = reply;
     if (context.id.empty() && request.method == "GET")
         return count(context);
     if (!is_job_id(context.id))
         return reply(json_response(not_found));
+    if (context.deadline <= clock_.now())
+    {
+        log_event(log_level::warning, "gateway", "call_expired",
+                  {{"job", context.id},
+                   {"method", request.method},
+                   {"unread_ms", context.unread.count()}});
+        return reply(retry_later(failover_retry_after));
+    }
     if (request.method == "POST")
         return submit(context, request.body);
     if (request.method == "GET")
--- a/src/mustardwick/entry/gateway_test.cpp
+++ b/src/mustardwick/entry/gateway_test.cpp
@@ -86,6 +86,7 @@
         request.method = "POST";
         request.host = "h";
         request.target = "/q/0123456789abcdef";
+        request.received = clock.now();
         request.body = chained_steps(1);
         std::optional<aio::outgoing_response> response;
         handler.handle(request,
@@ -126,6 +127,7 @@
         request.method = "POST";
         request.host = "h";
         request.target = "/q/0123456789abcdef";
+        request.received = clock.now();
         request.body = it.body;
         std::optional<aio::outgoing_response> response;
         handler.handle(request,
@@ -141,6 +143,69 @@
     }
 }
 
+struct age_case
+{
+    std::string method;
+    std::optional<milliseconds> deadline;
+    milliseconds unread;
+    bool is_forwarded;
+};
+
+// Guards against beginning work whose caller has stopped waiting while the
+// request was in the socket, and against refusing one that still waits.
+Test(gateway, counts_deadlines_from_the_arrival_of_a_request)
+{
+    base::set_up_log("test", base::log_level::error);
+    constexpr auto none = std::nullopt;
+    constexpr auto an_hour = milliseconds(3'600'000);
+    const std::array cases = {
+        age_case{"POST", none, milliseconds(0), true},
+        age_case{"POST", none, milliseconds(2500), true},
+        age_case{"POST", none, milliseconds(3000), false},
+        age_case{"POST", milliseconds(400), milliseconds(1000), false},
+        age_case{"POST", milliseconds(8000), milliseconds(4000), true},
+        age_case{"POST", an_hour, milliseconds(50'000), true},
+        age_case{"POST", an_hour, milliseconds(61'000), false},
+        age_case{"GET", milliseconds(400), milliseconds(1000), false},
+        age_case{"DELETE", milliseconds(400), milliseconds(1000), false},
+    };
+    for (const auto& it : cases)
+    {
+        base::manual_clock clock;
+        base::metrics metrics;
+        const auto state = one_public_queue();
+        std::optional<base::steady_time> deadline;
+        gateway handler(clock, metrics, state,
+                        [&](wire::message_type, const std::string&,
+                            base::steady_time until, const auto& done)
+                        {
+                            deadline = until;
+                            done({job_reply{reply_status::done}, true});
+                        });
+        aio::incoming_request request;
+        request.method = it.method;
+        request.host = "h";
+        request.target = "/q/0123456789abcdef";
+        request.received = clock.now();
+        request.body = chained_steps(1);
+        request.deadline = it.deadline;
+        request.unread = it.unread;
+        std::optional<aio::outgoing_response> response;
+        handler.handle(request,
+                       [&](aio::outgoing_response out)
+                       {
+                           response = std::move(out);
+                       });
+        cr_assert(response.has_value());
+        cr_assert_eq(response->status, it.is_forwarded ? 200 : 503);
+        cr_assert_eq(deadline.has_value(), it.is_forwarded);
+        if (deadline)
+            cr_assert_leq(*deadline,
+                          clock.now() - it.unread +
+                              it.deadline.value_or(milliseconds(3000)));
+    }
+}
+
 struct query_case
 {
     std::string method;
@@ -183,6 +248,7 @@
         request.method = it.method;
         request.host = "h";
         request.target = "/q/0123456789abcdef";
+        request.received = clock.now();
         std::optional<aio::outgoing_response> response;
         handler.handle(request,
                        [&](aio::outgoing_response out)
