--- a/testing/soak/given_up_test.py
+++ b/testing/soak/given_up_test.py
@@ -5,15 +5,14 @@
 import argparse
 import asyncio
 import dataclasses
-import json
 import pathlib
 import signal
 import sys
 import tempfile
 import time
 
-import http_stub
-from hosted_soak import HOST, Soak
+from given_up import call_and_leave, cancel_until_acknowledged
+from hosted_soak import Soak
 from workers import CANCEL_S
 
 FIRST_SEED = 70
@@ -84,41 +83,21 @@
             "never_fails": True, "queue": "plain"}
 
     def request(self, method, name):
-        job = self.promises.jobs.get(name)
         body = None
         if method == "POST":
-            body = {"spec": job["spec"],
-                    "steps": [{key: value for key, value in it.items()
-                               if key != "run_s"} for it in job["steps"]]}
+            body = self.body_of(self.promises.jobs[name])
         return (method, f"/plain/{name}", body,
                 ["Authorization: Bearer k-a", f"Deadline-Ms: {DEADLINE_MS}"])
 
     async def answer(self, daemon, method, name, patience_s=3.0, closes=True):
-        """Returns the status of a call, 0 if there was none in time."""
-        connection = None
-        try:
-            connection = await http_stub.Connection.open(HOST, daemon.callers)
-            status, _ = await asyncio.wait_for(
-                connection.ask(*self.request(method, name)), patience_s)
-            return status
-        except (OSError, asyncio.TimeoutError, IndexError, ValueError,
-                json.JSONDecodeError):
-            return 0
-        finally:
-            if connection is not None and closes:
-                connection.close()
+        return await call_and_leave(daemon, self.request(method, name),
+                                    patience_s, closes)
 
     async def cancel(self, name):
         """Cancels at the daemons that run until one acknowledges."""
-        job = self.promises.jobs[name]
-        deadline = time.monotonic() + 3
-        while time.monotonic() < deadline:
-            for it in self.awake:
-                if await self.answer(it, "DELETE", name, 0.8) in (200, 410):
-                    job["cancelled"] = True
-                    job["cancel_acknowledged"] = time.monotonic()
-                    return True
-        return False
+        return await cancel_until_acknowledged(
+            self.promises.jobs[name], self.request("DELETE", name), self.awake,
+            time.monotonic() + 3)
 
     async def submit_and_give_up(self, case, name):
         """Returns what went wrong, if anything."""
--- a/testing/soak/hosted_soak.py
+++ b/testing/soak/hosted_soak.py
@@ -24,6 +24,7 @@
 from daemons import HOST, ZONES, Daemon, Ports
 from faults import (ActiveFaults, FirstFaults, OddEntries, RouteChanges,
                     SecondFaults)
+from given_up import GivenUpSubmissions
 from idle_check import IdleCheck
 from store import Store
 from workers import ATTEMPTS, Promises, Worker, serve_advice
@@ -74,6 +75,7 @@
         self.second = SecondFaults(self, self.odd_entries)
         self.route_changes = RouteChanges(self)
         self.configurations = GrowingConfigurations(self)
+        self.given_up = GivenUpSubmissions(self)
         self.sending = True
         # Ends the callers; wait_for() may swallow their cancellation.
         self.over = False
@@ -148,12 +150,16 @@
                     f"{time.monotonic() - sent:.2f} s ({it})")
             raise
 
+    @staticmethod
+    def body_of(job):
+        return {"spec": job["spec"],
+                "steps": [{key: value for key, value in it.items()
+                           if key != "run_s"} for it in job["steps"]]}
+
     async def submit(self, name):
         """Submits a job and retries as a caller does."""
         job = self.promises.jobs[name]
-        body = {"spec": job["spec"],
-                "steps": [{key: value for key, value in it.items()
-                           if key != "run_s"} for it in job["steps"]]}
+        body = self.body_of(job)
         for _ in range(5):
             try:
                 status, _ = await self.call("POST", name, body)
@@ -190,6 +196,8 @@
             try:
                 status, _ = await self.call("DELETE", name)
                 if status in (200, 410):
+                    self.promises.jobs[name].setdefault("cancel_acknowledged",
+                                                        time.monotonic())
                     return
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
                     IndexError):
@@ -275,7 +283,7 @@
         load = asyncio.ensure_future(self.send_jobs())
         await asyncio.gather(*(it.inject(until) for it in
                                [self.first, self.second, self.route_changes,
-                                self.configurations]))
+                                self.configurations, self.given_up]))
         await self.settle()
         self.sending = False
         await load
@@ -297,11 +305,13 @@
                 self.promises.violate(f"FAULT {it.name} exited unexpectedly")
             else:
                 await it.stop(signal.SIGKILL)
-        jobs = self.promises.jobs.values()
+        jobs = [it for it in self.promises.jobs.values()
+                if not it.get("given_up")]
         accepted = sum(it["accepted"] for it in jobs)
         print(f"seed {self.options.seed}: {len(jobs)} jobs, {accepted} "
               f"accepted, {self.promises.starts} starts, {self.faults} faults,"
               f" {answer_check.asked} questions,"
+              f" {self.given_up.number} given up,"
               f" {len(self.promises.violations)} violations", flush=True)
         if accepted * 4 < len(jobs):
             self.promises.violate("fewer than a quarter of the jobs accepted")
