--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -102,6 +102,14 @@
     /// Upper bound of the lease: nothing runs there after this time unless the
     /// lease is renewed.
     base::steady_time lease_bound;
+    /// Since when it has not answered while runs are assigned to it.
+    std::optional<base::steady_time> silent_since;
+    /// The store may hold the end of the lease, on which a successor relies: it
+    /// must not be lengthened.
+    bool lease_is_stored = false;
+    /// That end on the store's clock; also one that a former leader stored,
+    /// until the worker answers.
+    std::optional<std::int64_t> stored_lease_end_ms;
     /// Highest number of an end that was applied.
     std::int64_t last_applied_end = 0;
     /// Numbers of the applied ends whose effects are not yet committed.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -17,6 +17,7 @@
 #include "mustardwick/dispatch/accepted_queues.hpp"
 #include "mustardwick/dispatch/host_state.hpp"
 #include "mustardwick/dispatch/job_run.hpp"
+#include "mustardwick/dispatch/lapsing_leases.hpp"
 #include "mustardwick/dispatch/orders.hpp"
 #include "mustardwick/dispatch/progress_blocks.hpp"
 #include "mustardwick/dispatch/row_change.hpp"
@@ -218,6 +219,22 @@
     }
     /// @}
 
+    /// @name Leases of workers that do not answer
+    ///
+    /// Their tasks start elsewhere once the leases have ended. A successor that
+    /// knew only when it took over itself would wait anew each time.
+    /// @{
+    /// @brief Returns whether the stored leases are not those that lapse now.
+    bool has_lease_changes(const lease_storing& how) const;
+    /// @brief Returns the leases to store, which are not lengthened any more.
+    std::vector<lapsing_lease> store_lapsing_leases(const lease_storing& how);
+    /// @brief Records that the leases returned last are stored, and no others.
+    void lapsing_leases_stored();
+    /// @brief Restores a lease that a former leader stored, which ends at
+    /// `bound` at the latest.
+    void restore_lapsing_lease(const lapsing_lease& lease, time_point bound);
+    /// @}
+
     /// @brief Returns the learned speeds of the listed workers, to be restored
     /// by a successor.
     std::string encode_speeds() const;
@@ -387,7 +404,6 @@
     /// @brief Switches a worker to a new incarnation and stops the runs of the
     /// former one that the report does not list.
     void begin_incarnation(host_state& host, const jobs::worker_report& report);
-    void handle_expired_leases();
     void reconcile_with_report(host_state& host,
                                const jobs::worker_report& report);
     void reconcile_listed_run(host_state& host,
@@ -399,6 +415,12 @@
     std::int64_t estimated_clock(const host_state& host) const;
     void update_clock(host_state& host, std::int64_t clock_ms);
 
+    // planner_leases.cpp
+    void handle_expired_leases();
+    /// @brief Returns whether the end of a host's lease is to be stored.
+    bool is_lease_lapsing(const host_state& host,
+                          const lease_storing& how) const;
+
     // planner_interference.cpp
     /// @brief Returns the number of the kind of work that a step's tasks are.
     policy::interference::kind_id kind_id_of(const jobs::job& job, int step);
@@ -553,6 +575,8 @@
     std::map<std::string, account_usage, std::less<>> accounts_;
     std::map<std::string, policy::allowed_share, std::less<>> allowed_share_;
     std::size_t withdrawn_jobs_ = 0;
+    /// Workers whose leases are part of the latest transaction with leases.
+    std::set<std::string, std::less<>> leases_in_flight_;
     std::deque<std::string> dirty_;
     /// Effects of the transaction in flight.
     std::optional<std::vector<job_effects>> committing_;
--- a/include/mustardwick/durable/rows.hpp
+++ b/include/mustardwick/durable/rows.hpp
@@ -74,6 +74,8 @@
     /// The store's latest version when it replied.
     std::int64_t version = 0;
     bool has_more = false;
+    /// The store's steady clock when it replied; 0 when not given.
+    std::int64_t clock_ms = 0;
     std::string reason;
 
     bool ok() const
--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -95,9 +95,14 @@
     void load_table(const std::string& table);
     void load_row(const durable::row& row);
     void load_members();
-    void load_speeds();
+    /// @brief Reads the rows that the leader can do without.
+    void load_hints();
+    void load_lapsing_leases(const durable::row& row);
     /// @brief Adds the learned speeds to a transaction if they are due.
     void add_speeds(durable::transaction& changes);
+    /// @brief Adds the lapsing leases to a transaction if they have changed;
+    /// returns whether it did.
+    bool add_leases(durable::transaction& changes);
     void loaded();
     void read_registry();
     void registry_read(std::vector<durable::row> rows, std::int64_t version);
@@ -158,6 +163,7 @@
     base::steady_time next_status_;
     base::steady_time next_check_;
     base::steady_time next_speeds_;
+    base::steady_time next_leases_;
     /// Delay of the last leadership check, which a busy or slow processor
     /// causes.
     std::chrono::milliseconds lag_{0};
@@ -208,6 +214,8 @@
 inline const std::string secret_key = "secret";
 /// Learned speeds of workers.
 inline const std::string speeds_key = "speeds";
+/// Leases of workers that do not answer.
+inline const std::string leases_key = "leases";
 /// @}
 
 } // namespace mustardwick::entry
--- a/include/mustardwick/entry/worker_links.hpp
+++ b/include/mustardwick/entry/worker_links.hpp
@@ -49,6 +49,8 @@
         int failures = 0;
         /// How often the next renewal has been postponed.
         int deferrals = 0;
+        /// The next renewal does not wait for an end of a run.
+        bool asks_at_once = false;
         std::uint64_t generation = 0;
     };
 
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -354,7 +354,8 @@
                   {
                       const auto& host = entry.second;
                       const bool removed = !host.listed && host.runs.empty() &&
-                                           host.lease_bound < now;
+                                           host.lease_bound < now &&
+                                           !host.lease_is_stored;
                       if (removed)
                       {
                           host_at_[host.index] = nullptr;
@@ -391,23 +392,6 @@
     return std::exchange(outbox_, {});
 }
 
-std::optional<std::int64_t> planner::lease_deadline(const std::string& id)
-{
-    const auto it = hosts_.find(id);
-    if (it == hosts_.end() || it->second.clock_ms == 0)
-        return std::nullopt;
-    auto& host = it->second;
-    // Attempts to reach a worker that does not answer must not lengthen its
-    // lease: its runs restart elsewhere once the lease has ended.
-    if (!host.reachable)
-        return std::nullopt;
-    // A worker's clock may be 2 % slow.
-    host.lease_bound = std::max(host.lease_bound,
-                                clock_.now() + options_.max_lease * 100 / 98 +
-                                    milliseconds(100));
-    return estimated_clock(host) + options_.max_lease.count();
-}
-
 std::int64_t planner::acknowledged_end(const std::string& id) const
 {
     const auto it = hosts_.find(id);
--- a/src/mustardwick/dispatch/planner_hosts.cpp
+++ b/src/mustardwick/dispatch/planner_hosts.cpp
@@ -55,8 +55,9 @@
     const bool same_incarnation =
         host.info.incarnation_start_ms == 0 ||
         host.info.incarnation_start_ms == host.incarnation_start_ms;
+    // A start would lengthen a lease on whose end a successor relies.
     return host.listed && host.adopted && host.reachable && same_incarnation &&
-           !host.info.draining &&
+           !host.lease_is_stored && !host.info.draining &&
            !evacuated_.contains(host.info.failure_domain);
 }
 
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -79,6 +79,8 @@
     }
     host.reachable = true;
     host.adopted = true;
+    if (!host.lease_is_stored)
+        host.stored_lease_end_ms.reset();
     update_clock(host, report.clock_ms);
     for (const auto& it : report.ended)
         if (it.number > host.last_applied_end)
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -23,7 +23,6 @@
 /// How long a step avoids a worker on which one of its tasks failed, or that
 /// rejected one of its orders.
 constexpr milliseconds failed_worker_backoff{2000};
-constexpr milliseconds lease_check_interval{20};
 
 std::string_view name_of(jobs::run_outcome how)
 {
@@ -376,23 +375,4 @@
     speeds_.forget(host.index);
 }
 
-void planner::handle_expired_leases()
-{
-    const auto now = clock_.now();
-    if (now < next_lease_check_)
-        return;
-    next_lease_check_ = now + lease_check_interval;
-    for (auto& [id, host] : hosts_)
-        if (!host.reachable && !host.runs.empty() && now > host.lease_bound)
-        {
-            log_event(log_level::warning, "planner", "lease_lapsed",
-                      {{"worker", id}, {"runs", host.runs.size()}});
-            std::vector<run_key> keys;
-            for (const auto& [key, it] : host.runs)
-                keys.push_back(key);
-            for (const auto& key : keys)
-                run_lost(host, key, "the lease has expired");
-        }
-}
-
 } // namespace mustardwick::dispatch
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -128,7 +128,6 @@
     configure(state);
     check_leadership();
     load_members();
-    load_speeds();
     tables_to_load_ = 3;
     load_table(job_table);
     load_table(progress_table);
@@ -231,6 +230,7 @@
     for (auto& it :
          planner_.next_commit(max_rows_per_commit, max_bytes_per_commit))
         add_change(changes, std::move(it));
+    const bool has_leases = add_leases(changes);
     if (!changes.changes_nothing())
         add_speeds(changes);
     const bool renewal_due =
@@ -241,15 +241,17 @@
     const bool releases = releasing_;
     if (releases)
         log_->set_released();
-    log_->commit(std::move(changes),
-                 [self = shared_from_this(), releases](log_result result)
-                 {
-                     // The probe that shows a rejection releases as well.
-                     self->released_ =
-                         releases && result != log_result::superseded;
-                     if (!self->stopped_)
-                         self->committed(result);
-                 });
+    log_->commit(
+        std::move(changes),
+        [self = shared_from_this(), releases, has_leases](log_result result)
+        {
+            if (has_leases && result == log_result::durable)
+                self->planner_.lapsing_leases_stored();
+            // The probe that shows a rejection releases as well.
+            self->released_ = releases && result != log_result::superseded;
+            if (!self->stopped_)
+                self->committed(result);
+        });
 }
 
 void cell_leader::committed(log_result result)
--- a/src/mustardwick/entry/cell_leader_load.cpp
+++ b/src/mustardwick/entry/cell_leader_load.cpp
@@ -26,6 +26,9 @@
 /// Interval at which the learned speeds are stored, with a transaction that
 /// changes jobs; a row of 350 workers has 15 KB.
 constexpr milliseconds speeds_interval{8000};
+/// Minimum interval between two writes of the lapsing leases; a row of 400
+/// workers has up to 40 KB.
+constexpr milliseconds leases_interval{250};
 
 } // namespace
 
@@ -49,21 +52,39 @@
         });
 }
 
-void cell_leader::load_speeds()
+void cell_leader::load_hints()
 {
     env_.store.read(
-        cell_table, plan_partition, speeds_key, 1, read_timeout,
+        cell_table, plan_partition, "", page_rows, read_timeout,
         [self = shared_from_this()](const durable::store_reply& reply)
         {
-            // Without the row the speeds are learned anew within seconds.
+            // Without the rows the speeds are learned anew within seconds, and
+            // leases are counted from the begin of this leadership.
             if (self->stopped_ || !reply.ok())
                 return;
             for (const auto& it : reply.rows)
+            {
                 if (it.address.key == speeds_key)
                     self->planner_.restore_speeds(it.value);
+                if (it.address.key == leases_key)
+                    self->load_lapsing_leases(it);
+            }
         });
 }
 
+void cell_leader::load_lapsing_leases(const durable::row& row)
+{
+    const auto stored = wire::decode<dispatch::lapsing_lease_rows>(row.value);
+    if (!stored)
+        return log_event(log_level::warning, "leader", "lease_row_unreadable",
+                         {{"reason", base::last_error().text()}});
+    if (stored->epoch + 1 != head_.epoch)
+        return;
+    for (const auto& it : stored->leases)
+        if (const auto bound = env_.store.clock().from_store(it.end_ms))
+            planner_.restore_lapsing_lease(it, *bound);
+}
+
 void cell_leader::add_speeds(durable::transaction& changes)
 {
     const auto now = env_.clock.now();
@@ -76,6 +97,29 @@
                                   planner_.encode_speeds()});
 }
 
+bool cell_leader::add_leases(durable::transaction& changes)
+{
+    const auto now = env_.clock.now();
+    const auto& clock = env_.store.clock();
+    const auto read = clock.last_reading();
+    if (!loaded_ || !read || (now < next_leases_ && !releasing_))
+        return false;
+    const dispatch::lease_storing how{[&clock](base::steady_time time)
+                                      {
+                                          return *clock.to_store(time);
+                                      },
+                                      *read, releasing_};
+    if (!planner_.has_lease_changes(how))
+        return false;
+    next_leases_ = now + leases_interval;
+    dispatch::lapsing_lease_rows rows;
+    rows.epoch = head_.epoch;
+    rows.leases = planner_.store_lapsing_leases(how);
+    changes.writes.push_back(
+        {{cell_table, plan_partition, leases_key}, wire::encode(rows)});
+    return true;
+}
+
 void cell_leader::load_table(const std::string& table)
 {
     using scan = table_scan<platform::store_client>;
@@ -145,6 +189,7 @@
         log_level::info, "leader", "state_loaded",
         {{"jobs", stored.size()}, {"active", active}, {"epoch", head_.epoch}});
     loaded_ = true;
+    load_hints();
     // Without a wait to cancel, follow_registry() is about to run anyway.
     if (pending_registry_ && registry_timer_.cancel() > 0)
         follow_registry();
--- a/src/mustardwick/entry/worker_links.cpp
+++ b/src/mustardwick/entry/worker_links.cpp
@@ -1,5 +1,7 @@
 #include "mustardwick/entry/worker_links.hpp"
 
+#include <utility>
+
 #include "mustardwick/base/log.hpp"
 
 namespace mustardwick::entry
@@ -68,8 +70,16 @@
 void worker_links::unlisted(const std::string& id)
 {
     const auto it = links_.find(id);
-    if (it != links_.end())
-        it->second.listed = false;
+    if (stopped_ || it == links_.end())
+        return;
+    it->second.listed = false;
+    const auto host = planner_.hosts().find(id);
+    if (host == planner_.hosts().end() || host->second.runs.empty())
+        return;
+    // A worker that was lost would leave the renewal under way unanswered for
+    // longer.
+    it->second.asks_at_once = true;
+    renew(id);
 }
 
 void worker_links::renew_after(link& it, milliseconds delay)
@@ -107,7 +117,8 @@
     // The first answer is needed immediately, to learn the worker's clock.
     const auto host = planner_.hosts().find(id);
     const bool adopted = host != planner_.hosts().end() && host->second.adopted;
-    if (adopted && renewal.deadline_ms)
+    const bool asks_at_once = std::exchange(it.asks_at_once, false);
+    if (adopted && renewal.deadline_ms && !asks_at_once)
         renewal.wait = max_renewal_wait;
     metrics_.add("mustardwick_renewals_total");
     it.client->renew(renewal,
--- a/testing/soak/store.py
+++ b/testing/soak/store.py
@@ -5,12 +5,14 @@
 import itertools
 import json
 import random
+import time
 
 from http_stub import Withhold, serve
 
 TRANSACTION_TIME_S = 0.006
 READ_TIME_S = 0.004
 MAX_ROWS = 500
+CLOCK_OFFSET_MS = 1_234_567
 MAX_ENTRIES = 100
 MAX_READ_BYTES = 1_000_000
 # Of a value in base64.
@@ -29,6 +31,11 @@
         # Active fault by port; see apply_fault().
         self.faults = {}
 
+    @staticmethod
+    def now_ms():
+        """Returns the store's steady clock, which is not that of a daemon."""
+        return int(time.monotonic() * 1000) + CLOCK_OFFSET_MS
+
     def put(self, table, key, value):
         """Writes a row on behalf of the operator or a worker."""
         self.put_bytes(table, key, json.dumps(value).encode())
@@ -68,9 +75,10 @@
                 conflict = conflict or [None]
         if conflict:
             rows = [it for it in conflict if it]
-            return 412, {"row_version": self.version, "rows": rows}
+            return 412, {"row_version": self.version, "rows": rows,
+                         "now_ms": self.now_ms()}
         self.commit(body["writes"], body["remove"])
-        return 200, {"row_version": self.version}
+        return 200, {"row_version": self.version, "now_ms": self.now_ms()}
 
     def read(self, query):
         found = sorted((it for it in self.rows.values()
@@ -84,7 +92,7 @@
         # A row may be longer than an answer.
         limit = min(limit, max(1, fitting))
         return 200, {"row_version": self.version, "rows": found[:limit],
-                     "has_more": len(found) > limit}
+                     "has_more": len(found) > limit, "now_ms": self.now_ms()}
 
     async def feed(self, query):
         after = int(query["after"])
@@ -100,7 +108,8 @@
             left = end - loop.time()
             if rows or left <= 0:
                 return 200, {"row_version": self.version,
-                             "rows": list(reversed(rows.values()))}
+                             "rows": list(reversed(rows.values())),
+                             "now_ms": self.now_ms()}
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
