--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -65,6 +65,9 @@
     /// Last run number whose failure was counted: a gang step fails at most
     /// once for each run number.
     int failed_run = 0;
+    /// Run of a gang step that a member has ended with a checkpoint, which is
+    /// newer than those that are known of lost members.
+    int checkpoint_run = 0;
     /// No task of the step is started again before this time.
     base::steady_time not_before;
     /// Run times of the tasks that have ended.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -375,8 +375,13 @@
     void remove_run(host_state& host, const run_key& key);
     jobs::task_record* find_task(const jobs::task_key& task);
     step_run* find_step(const jobs::task_key& task);
-    void requeue(const jobs::task_key& task, int run,
-                 const std::string& checkpoint);
+    /// @brief Returns the member of a gang step whose record holds what the
+    /// members have in common: their failures and their checkpoint.
+    static jobs::task_key gang_record_of(jobs::task_key task);
+    /// @brief Keeps the checkpoint of a run that has ended, or was lost.
+    void keep_checkpoint(const jobs::task_key& task, int run,
+                         const std::string& checkpoint, bool is_final);
+    void requeue(const jobs::task_key& task, int run);
     void run_lost(host_state& host, const run_key& key,
                   std::string_view reason);
     void apply_end(host_state& host, const jobs::ended_run& end);
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <set>
+#include <span>
+#include <string>
 #include <string_view>
 
 #include "mustardwick/base/log.hpp"
@@ -25,6 +27,23 @@
 /// waiting steps cannot use: in small parts, or on hosts denied to them.
 constexpr double full_share = 0.9;
 
+/// Returns the checkpoint that a task resumes from. The members of a gang step
+/// resume from the same one.
+const std::string& checkpoint_of(const jobs::step& step,
+                                 std::span<const jobs::task_record> tasks,
+                                 int index)
+{
+    if (!step.is_gang)
+        return tasks[std::size_t(index)].checkpoint;
+    // Earlier releases kept one for each member, each of which is valid.
+    const auto it = std::find_if(tasks.begin(), tasks.end(),
+                                 [](const auto& task)
+                                 {
+                                     return !task.checkpoint.empty();
+                                 });
+    return it == tasks.end() ? tasks.front().checkpoint : it->checkpoint;
+}
+
 } // namespace
 
 void planner::place_waiting_steps()
@@ -251,7 +270,7 @@
     order.task = key;
     order.run = run;
     order.payload = job.specification.payload;
-    order.checkpoint = record.checkpoint;
+    order.checkpoint = checkpoint_of(step.spec(), step.tasks(), index);
     order.worker_incarnation_start_ms = host.incarnation_start_ms;
     order.uses_suspect_host = where.is_quarantined;
     if (where.ticket != nullptr)
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -163,8 +163,31 @@
     }
 }
 
-void planner::requeue(const jobs::task_key& task, int run,
-                      const std::string& checkpoint)
+jobs::task_key planner::gang_record_of(jobs::task_key task)
+{
+    task.index = 0;
+    return task;
+}
+
+void planner::keep_checkpoint(const jobs::task_key& task, int run,
+                              const std::string& checkpoint, bool is_final)
+{
+    const auto* record = find_task(task);
+    if (checkpoint.empty() || record == nullptr || record->run != run ||
+        record->state != jobs::task_state::assigned)
+        return;
+    const auto& spec = find_job(task.job)->specification;
+    const auto& step = spec.steps[std::size_t(task.step)];
+    auto& newest = find_step(task)->checkpoint_run;
+    if (step.is_gang && !is_final && newest == run)
+        return;
+    if (is_final)
+        newest = run;
+    find_task(step.is_gang ? gang_record_of(task) : task)->checkpoint =
+        checkpoint;
+}
+
+void planner::requeue(const jobs::task_key& task, int run)
 {
     auto* record = find_task(task);
     if (record == nullptr || record->run != run ||
@@ -172,8 +195,6 @@
         return;
     record->state = jobs::task_state::waiting;
     record->worker.clear();
-    if (!checkpoint.empty())
-        record->checkpoint = checkpoint;
     auto& job = *find_job(task.job);
     mark_dirty(job);
     placement_due_ = true;
@@ -198,7 +219,8 @@
     const auto run = key.second;
     const auto checkpoint = it->second.checkpoint;
     remove_run(host, {task, run});
-    requeue(task, run, checkpoint);
+    keep_checkpoint(task, run, checkpoint, false);
+    requeue(task, run);
 }
 
 void planner::task_failed(job_run& job, const jobs::task_key& task, int run)
@@ -214,7 +236,7 @@
         if (volatile_step->failed_run == run)
             return;
         volatile_step->failed_run = run;
-        record = find_task({task.job, task.occurrence, task.step, 0});
+        record = find_task(gang_record_of(task));
     }
     ++record->failures;
     mark_dirty(job);
@@ -239,12 +261,10 @@
 jobs::task_key planner::failure_subject(const job_run& job,
                                         const jobs::task_key& task)
 {
-    auto out = task;
     const auto step = std::size_t(task.step);
-    if (step < job.specification.steps.size() &&
-        job.specification.steps[step].is_gang)
-        out.index = 0;
-    return out;
+    const bool is_gang = step < job.specification.steps.size() &&
+                         job.specification.steps[step].is_gang;
+    return is_gang ? gang_record_of(task) : task;
 }
 
 void planner::record_host_failure(host_state& host, const jobs::task_key& task,
@@ -344,7 +364,8 @@
         avoid_host(end.task, host);
         task_failed(*job, end.task, end.run);
     }
-    requeue(end.task, end.run, end.checkpoint);
+    keep_checkpoint(end.task, end.run, end.checkpoint, true);
+    requeue(end.task, end.run);
 }
 
 void planner::begin_incarnation(host_state& host,
