--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -490,6 +490,9 @@
     /// @brief Returns whether a step may use suspect hosts: no other host has
     /// been able to take it for a while, though the service is not busy.
     bool may_use_suspect_hosts(const ready_step& step) const;
+    /// @brief Returns whether all hosts in service with the label that a step
+    /// requires are suspect.
+    bool needs_suspect_hosts(const ready_step& step) const;
     /// @brief Returns how many tasks of a step a host may run, regardless of
     /// its free capacity.
     int max_tasks_on(const host_state& host, const ready_step& step) const;
--- a/src/mustardwick/dispatch/host_quarantine_test.cpp
+++ b/src/mustardwick/dispatch/host_quarantine_test.cpp
@@ -237,28 +237,60 @@
     }
 }
 
+struct only_host_case
+{
+    const char* name;
+    /// Cores in use on each of the other hosts.
+    int running_cores;
+    /// The job needs the label of the host.
+    bool needs_label;
+    bool starts;
+};
+
 // Guards against a job that is held up because jobs that always fail have had
-// the only host with its label quarantined (review/4).
+// the only host with its label quarantined, in a free cell (review/4) or in a
+// busy one (review/10).
 Test(host_quarantine, holds_up_no_job_on_its_only_host)
 {
-    failing_cell cell;
-    jobs::worker_info info;
-    info.id = "only";
-    info.service = "s";
-    info.failure_domain = "z";
-    info.capacity = {host_cores * 1000, 64'000, 0};
-    info.labels = {"b"};
-    cell.plan.worker_listed(info);
-    cell.report(info.id);
-    auto step = make_step(1, 1);
-    step.required_label = "b";
-    auto configuration = make_configuration();
-    configuration.queues["plain"].attempts = 100;
-    cell.plan.set_configuration(configuration);
-    for (int it = 0; it < 6; ++it)
-        cell.submit(make_job("bad" + std::to_string(it), "plain", {step}));
-    for (const auto& order : cell.run_round().starts)
-        cell.fail(order);
-    cell.submit(make_job("sound", "plain", {step}));
-    cr_assert_eq(start_within_3_s(cell, "sound", "bad"), "only");
+    const std::array cases = {
+        only_host_case{"free", 0, true, true},
+        only_host_case{"busy", 31, true, true},
+        // In a full cell, faulty hosts look empty.
+        only_host_case{"busy, without the label", 31, false, false},
+    };
+    for (const auto& it : cases)
+    {
+        failing_cell cell;
+        jobs::worker_info info;
+        info.id = "only";
+        info.service = "s";
+        info.failure_domain = "z";
+        info.capacity = {host_cores * 1000, 64'000, 0};
+        info.labels = {"b"};
+        auto step = make_step(1, 1);
+        auto configuration = make_configuration();
+        configuration.queues["plain"].attempts = 100;
+        cell.plan.set_configuration(configuration);
+        if (it.running_cores > 0)
+            for (int n = 0; n < hosts; ++n)
+                cell.submit(make_job("big" + std::to_string(n), "urgent",
+                                     {make_step(1, it.running_cores)}));
+        cell.run_round();
+        cell.plan.worker_listed(info);
+        cell.report(info.id);
+        step.required_label = "b";
+        for (int n = 0; n < 6; ++n)
+            cell.submit(make_job("bad" + std::to_string(n), "plain", {step}));
+        for (const auto& order : cell.run_round().starts)
+            cell.fail(order);
+        auto sound = make_step(1, it.needs_label ? 1 : 2);
+        sound.required_label = it.needs_label ? "b" : "";
+        // Other work may be deferred in a busy cell.
+        sound.long_running = it.running_cores > 0;
+        cell.submit(make_job("sound", "plain", {sound}));
+        const auto worker = start_within_3_s(cell, "sound", "bad");
+        cr_assert_eq(worker.has_value(), it.starts, "%s", it.name);
+        if (worker)
+            cr_assert_eq(*worker, "only", "%s", it.name);
+    }
 }
--- a/src/mustardwick/dispatch/planner_hosts.cpp
+++ b/src/mustardwick/dispatch/planner_hosts.cpp
@@ -11,9 +11,9 @@
 
 using std::chrono::milliseconds;
 
-/// In a full cell, faulty hosts look empty and would take every waiting task.
-/// Otherwise a step that fits nowhere else may use suspect hosts after this
-/// time: the work may be at fault, not the host.
+/// In a full cell, faulty hosts look empty and would take every waiting task
+/// that can run elsewhere. Otherwise a step that fits nowhere else may use
+/// suspect hosts after this time: the work may be at fault, not the host.
 constexpr milliseconds suspect_host_delay{1000};
 
 bool has_idle_cpu_runs(const host_state& host)
@@ -25,6 +25,12 @@
                        });
 }
 
+bool has_label(const host_state& host, std::string_view label)
+{
+    const auto& labels = host.info.labels;
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
 /// Returns whether a run that has started after the given time, or has not
 /// started yet, occupies a host.
 bool has_runs_since(const host_state& host, base::steady_time since)
@@ -79,16 +85,27 @@
     const auto& blocked_since = step.state().blocked_since;
     return blocked_since &&
            clock_.now() - *blocked_since >= suspect_host_delay &&
-           !is_busy(step.queue->service);
+           (!is_busy(step.queue->service) || needs_suspect_hosts(step));
+}
+
+bool planner::needs_suspect_hosts(const ready_step& step) const
+{
+    const auto& label = step.spec().required_label;
+    return !label.empty() &&
+           std::none_of(hosts_.begin(), hosts_.end(),
+                        [&](const auto& entry)
+                        {
+                            const auto& host = entry.second;
+                            return has_label(host, label) &&
+                                   is_in_service(host, step.queue->service) &&
+                                   !is_suspect(host);
+                        });
 }
 
 int planner::max_tasks_on(const host_state& host, const ready_step& step) const
 {
     const auto& spec = step.spec();
-    const auto& labels = host.info.labels;
-    if (!spec.required_label.empty() &&
-        std::find(labels.begin(), labels.end(), spec.required_label) ==
-            labels.end())
+    if (!spec.required_label.empty() && !has_label(host, spec.required_label))
         return 0;
     // A host on probation gets one task at a time until one succeeds; a step
     // that has no other host is not held up by the tasks of others there.
