Read the store's clock before a test of lapsing leases converts by it

The case 'answers the successor' dereferenced an empty conversion, since its successor had never read the clock; it passed because the result is ignored there. With a reading it checks what its name says. Assertions are unchanged; both tests of planner_leases pass.

--- a/src/mustardwick/dispatch/planner_leases_test.cpp
+++ b/src/mustardwick/dispatch/planner_leases_test.cpp
@@ -248,6 +248,7 @@
                                 running_record("w0"));
             second.report("w0", {run});
             cr_assert(second.plan.lease_deadline("w0").has_value());
+            second.storing();
             for (const auto& lease : first.stored)
                 second.plan.restore_lapsing_lease(
                     lease, *second.store.from_store(lease.end_ms));
