--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -70,6 +70,8 @@
     /// Worker clock reading after which an unanswered start order has no
     /// effect; 0 while no order was sent.
     std::int64_t order_expiry_ms = 0;
+    /// When the order was sent, unless a former leader sent it.
+    std::optional<base::steady_time> ordered;
     /// Worker clock reading when the start was accepted.
     std::int64_t started_clock_ms = 0;
     base::steady_time started;
@@ -102,6 +104,13 @@
     /// Upper bound of the lease: nothing runs there after this time unless the
     /// lease is renewed.
     base::steady_time lease_bound;
+    /// When this leader sent the last renewal that lengthened the lease.
+    std::optional<base::steady_time> renewed;
+    /// When the last report arrived.
+    std::optional<base::steady_time> reported;
+    /// Runs that were given up because the lease had ended, until the worker
+    /// reports again.
+    std::map<run_key, base::steady_time> given_up;
     /// Since when it has not answered while runs are assigned to it.
     std::optional<base::steady_time> silent_since;
     /// The store may hold the end of the lease, on which a successor relies: it
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -411,8 +411,16 @@
     void begin_incarnation(host_state& host, const jobs::worker_report& report);
     void reconcile_with_report(host_state& host,
                                const jobs::worker_report& report);
+    /// @brief Logs runs that a worker lists although its lease had ended by
+    /// what this leader knew.
+    void report_outlived_leases(host_state& host,
+                                const jobs::worker_report& report);
     void reconcile_listed_run(host_state& host,
                               const jobs::running_run& listed);
+    /// @brief Logs a reply whose clock is not the one that the order's
+    /// deadline refers to.
+    void log_unexpected_clock(const host_state& host, const start_order& order,
+                              const jobs::order_reply& reply) const;
     void mark_started(const std::string& id);
     /// @brief Returns whether a run that is missing from a report has ended or
     /// cannot start any more; `clock_ms` is the report's time.
@@ -422,6 +430,11 @@
 
     // planner_leases.cpp
     void handle_expired_leases();
+    /// @brief Gives up all runs of a worker whose lease has ended.
+    void give_up_runs(host_state& host);
+    /// @brief Returns the time since then, for log lines; -1 for never.
+    std::int64_t
+    milliseconds_since(const std::optional<time_point>& time) const;
     /// @brief Returns whether the end of a host's lease is to be stored.
     bool is_lease_lapsing(const host_state& host,
                           const lease_storing& how) const;
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -328,6 +328,7 @@
         order.deadline_ms =
             estimated_clock(host) + options_.start_validity.count();
         it->second.phase = run_phase::ordered;
+        it->second.ordered = clock_.now();
         it->second.order_expiry_ms = order.deadline_ms;
         host.lease_bound =
             std::max(host.lease_bound, clock_.now() +
--- a/src/mustardwick/dispatch/planner_leases.cpp
+++ b/src/mustardwick/dispatch/planner_leases.cpp
@@ -35,6 +35,7 @@
     // may already rely on the end that is stored.
     if (!host.reachable || host.lease_is_stored)
         return std::nullopt;
+    host.renewed = clock_.now();
     // A worker's clock may be 2 % slow.
     host.lease_bound = std::max(host.lease_bound,
                                 clock_.now() + options_.max_lease * 100 / 98 +
@@ -57,17 +58,47 @@
             host.silent_since = now;
         if (is_silent && now > host.lease_bound)
         {
-            log_event(log_level::warning, "planner", "lease_lapsed",
-                      {{"worker", id}, {"runs", host.runs.size()}});
-            std::vector<run_key> keys;
-            for (const auto& [key, it] : host.runs)
-                keys.push_back(key);
-            for (const auto& key : keys)
-                run_lost(host, key, "the lease has expired");
+            give_up_runs(host);
         }
     }
 }
 
+void planner::give_up_runs(host_state& host)
+{
+    log_event(log_level::warning, "planner", "lease_lapsed",
+              {{"worker", host.info.id},
+               {"runs", host.runs.size()},
+               {"incarnation_start_ms", host.incarnation_start_ms},
+               {"renewed_ms_ago", milliseconds_since(host.renewed)},
+               {"reported_ms_ago", milliseconds_since(host.reported)},
+               {"clock_ms", estimated_clock(host)}});
+    std::vector<run_key> keys;
+    for (const auto& [key, it] : host.runs)
+    {
+        log_event(log_level::info, "planner", "run_given_up",
+                  {{"task", to_string(key.first)},
+                   {"run", key.second},
+                   {"worker", host.info.id},
+                   {"ordered_ms_ago", milliseconds_since(it.ordered)},
+                   {"accepted_clock_ms", it.started_clock_ms},
+                   {"deadline_ms", it.order_expiry_ms},
+                   {"listed", int(it.listed_in != 0)}});
+        keys.push_back(key);
+        host.given_up.emplace(key, clock_.now());
+    }
+    for (const auto& key : keys)
+        run_lost(host, key, "the lease has expired");
+}
+
+std::int64_t
+planner::milliseconds_since(const std::optional<time_point>& time) const
+{
+    if (!time)
+        return -1;
+    return std::chrono::duration_cast<milliseconds>(clock_.now() - *time)
+        .count();
+}
+
 bool planner::is_lease_lapsing(const host_state& host,
                                const lease_storing& how) const
 {
--- a/src/mustardwick/dispatch/planner_orders.cpp
+++ b/src/mustardwick/dispatch/planner_orders.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 
 #include "mustardwick/base/log.hpp"
 #include "mustardwick/dispatch/planner.hpp"
@@ -16,6 +17,8 @@
 
 /// How long a host that refused an order gets no new work.
 constexpr milliseconds refusal_backoff{300};
+/// A reply whose clock differs by more than this from the estimate is logged.
+constexpr std::int64_t max_clock_deviation_ms = 1000;
 
 std::string_view name_of(jobs::order_result result)
 {
@@ -40,6 +43,7 @@
     // which was sent a stop of each run that it does not list.
     if (order.worker_incarnation_start_ms != host.incarnation_start_ms)
         return;
+    log_unexpected_clock(host, order, reply);
     // Another worker at the address answers with its own clock.
     if (reply.clock_ms != 0 && reply.result != order_result::other_incarnation)
         update_clock(host, reply.clock_ms);
@@ -89,6 +93,24 @@
     run_lost(host, key, "the order was not accepted");
 }
 
+void planner::log_unexpected_clock(const host_state& host,
+                                   const start_order& order,
+                                   const jobs::order_reply& reply) const
+{
+    const auto expected = estimated_clock(host);
+    if (reply.clock_ms == 0 || host.clock_ms == 0 ||
+        std::abs(reply.clock_ms - expected) <= max_clock_deviation_ms)
+        return;
+    log_event(log_level::warning, "planner", "start_answered_by_other_clock",
+              {{"task", to_string(order.task)},
+               {"run", order.run},
+               {"worker", order.worker},
+               {"result", name_of(reply.result)},
+               {"clock_ms", reply.clock_ms},
+               {"expected_clock_ms", expected},
+               {"deadline_ms", order.deadline_ms}});
+}
+
 void planner::stop_answered(const stop_order& order,
                             const jobs::order_reply& reply)
 {
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -79,6 +79,8 @@
     }
     host.reachable = true;
     host.adopted = true;
+    host.reported = clock_.now();
+    report_outlived_leases(host, report);
     if (!host.lease_is_stored)
         host.stored_lease_end_ms.reset();
     update_clock(host, report.clock_ms);
@@ -89,6 +91,33 @@
     protect_targets(host);
 }
 
+void planner::report_outlived_leases(host_state& host,
+                                     const jobs::worker_report& report)
+{
+    if (host.given_up.empty())
+        return;
+    const auto check =
+        [&](const jobs::task_key& task, int run, std::string_view state)
+    {
+        const auto it = host.given_up.find({task, run});
+        if (it == host.given_up.end())
+            return;
+        metrics_.add("mustardwick_runs_listed_after_lease_total");
+        log_event(log_level::warning, "planner", "run_listed_after_lease",
+                  {{"task", to_string(task)},
+                   {"run", run},
+                   {"worker", host.info.id},
+                   {"incarnation_start_ms", host.incarnation_start_ms},
+                   {"given_up_ms_ago", milliseconds_since(it->second)},
+                   {"state", state}});
+    };
+    for (const auto& it : report.running)
+        check(it.task, it.run, "running");
+    for (const auto& it : report.ended)
+        check(it.task, it.run, "ended");
+    host.given_up.clear();
+}
+
 void planner::reconcile_listed_run(host_state& host,
                                    const jobs::running_run& listed)
 {
