--- a/testing/soak/http_stub.py
+++ b/testing/soak/http_stub.py
@@ -12,6 +12,8 @@
 # Bytes written at once on a path with a limited rate.
 PIECE_BYTES = 4096
 LAG_S = 0.05
+# Longer than any caller waits for an answer.
+SILENCE_S = 4
 
 
 class Withhold(Exception):
@@ -69,6 +71,13 @@
         self.free_at = 0
         self.server = None
         self.writers = set()
+        # Number of the process that serves the port.
+        self.process = 0
+
+    def begin_process(self):
+        """Lets another process serve the port. What arrives on connections of
+        the former one is not answered."""
+        self.process += 1
 
     async def open(self):
         if self.server is None:
@@ -89,8 +98,12 @@
         if self.resets:
             return reset(writer)
         self.writers.add(writer)
+        process = self.process
         try:
             while (request := await read_request(reader)) is not None:
+                if process != self.process:
+                    await asyncio.sleep(SILENCE_S)
+                    break
                 status, body = await self.handle(request)
                 data = json.dumps(body).encode()
                 if self.rate is not None:
--- a/testing/soak/workers.py
+++ b/testing/soak/workers.py
@@ -9,7 +9,7 @@
 import time
 import zlib
 
-from http_stub import Withhold, serve
+from http_stub import SILENCE_S, Withhold, serve
 
 STOP_TIME_S = 0.3
 POISONED_RUN_S = 0.3
@@ -118,12 +118,22 @@
         self.path = None
         self.listener = None
         self.up = False
+        # Whether it writes its registry entry.
+        self.announces = True
         self.sequence = 0
+        self.incarnation = 0
         self.start_incarnation()
 
     def start_incarnation(self):
-        self.incarnation = int(time.time() * 1000)
+        """Starts under the same id with nothing of the former incarnation: its
+        clock, the numbers of its ends and its token begin anew, and the
+        connections of the former one stay silent."""
+        # Two starts in one millisecond are two incarnations all the same.
+        self.incarnation = max(int(time.time() * 1000), self.incarnation + 1)
+        if self.listener:
+            self.listener.begin_process()
         self.start_time = time.monotonic()
+        self.start_clock_ms = random.randrange(10_000_000)
         self.token = 0
         self.lease_ms = 0
         self.runs = {}
@@ -143,7 +153,8 @@
         self.runs = {}
 
     def clock_ms(self):
-        return int((time.monotonic() - self.start_time) * 1000) + 1
+        return (self.start_clock_ms +
+                int((time.monotonic() - self.start_time) * 1000) + 1)
 
     def stamp(self, body):
         return {"clock_ms": self.clock_ms(), "born": self.incarnation, **body}
@@ -177,7 +188,7 @@
     async def announce(self):
         """Writes the registry entry periodically, as the heartbeat."""
         while True:
-            if self.up and self.fault != "cut":
+            if self.up and self.announces and self.fault != "cut":
                 self.sequence += 1
                 self.store.put("servers", self.id, {
                     "service": "s", "address": f"{self.host}:{self.port}",
@@ -260,32 +271,36 @@
 
     async def handle(self, request):
         if not self.up or self.fault == "cut":
-            await asyncio.sleep(4)
+            await asyncio.sleep(SILENCE_S)
             raise Withhold
         if request.headers.get("expect-instance", self.id) != self.id:
             return 421, self.stamp({})
         incarnation = self.incarnation
-        is_order = request.path != "/v1/hold"
-        late = self.fault == "late" and is_order and random.random() < 0.3
+        late = self.fault == "late" and random.random() < 0.3
         if late:
-            await asyncio.sleep(random.uniform(2, 4))
-        if incarnation != self.incarnation or not self.up:
+            # A call that is carried out late may reach the next incarnation.
+            await asyncio.sleep(random.uniform(2, 12))
+            if self.up:
+                await self.carry_out(request)
             raise Withhold
-        if request.path == "/v1/run-start":
-            response = self.start_run(request.body)
-        elif request.path == "/v1/run-stop":
-            response = self.stop_run(request.body)
-        elif request.path == "/v1/hold":
-            response = await self.hold(request.body)
-        else:
-            response = 404, {}
-        if late or incarnation != self.incarnation:
+        response = await self.carry_out(request)
+        if incarnation != self.incarnation:
+            await asyncio.sleep(SILENCE_S)
             raise Withhold
         if self.path == "one_way":
-            await asyncio.sleep(4)
+            await asyncio.sleep(SILENCE_S)
             raise Withhold
         return response
 
+    async def carry_out(self, request):
+        if request.path == "/v1/run-start":
+            return self.start_run(request.body)
+        if request.path == "/v1/run-stop":
+            return self.stop_run(request.body)
+        if request.path == "/v1/hold":
+            return await self.hold(request.body)
+        return 404, {}
+
     async def listen(self):
         asyncio.ensure_future(self.tick())
         asyncio.ensure_future(self.announce())
