--- a/include/mustardwick/aio/http_channel.hpp
+++ b/include/mustardwick/aio/http_channel.hpp
@@ -23,6 +23,9 @@
     std::string target = "/";
     std::string body;
     std::vector<std::pair<std::string, std::string>> headers;
+    /// The process that the call is meant for, as channel_options::identify
+    /// shows it. The call is sent to no other.
+    std::optional<std::int64_t> process;
     /// Includes the time that the call waits for a connection.
     std::chrono::milliseconds timeout{1000};
     /// When set, an answer that has begun to arrive is given up only when less
@@ -39,6 +42,8 @@
     answered,
     /// No byte of the request was sent.
     not_sent,
+    /// The same; another process than the one that is meant has the address.
+    other_process,
     /// The peer may have received and processed the request.
     maybe_sent
 };
@@ -60,12 +65,27 @@
 
 using http_callback = std::function<void(http_result)>;
 
+/// @brief The first call on a new connection, which shows which process the
+/// connection leads to. A process that starts again at an address has none of
+/// the connections of the former one, so that the answer holds for as long as
+/// the connection is open.
+struct identification
+{
+    http_call call;
+    /// Returns which process has answered the call; std::nullopt if the answer
+    /// does not tell, and the connection is closed.
+    std::function<std::optional<std::int64_t>(const http_result&)> process_of;
+};
+
 struct channel_options
 {
     /// Connections open at the same time; further calls are queued.
     std::size_t max_connections = 2;
     std::chrono::milliseconds connect_timeout{800};
     std::size_t max_body_bytes = 4U << 20U;
+    /// Makes the first call on each new connection. Required if any call is
+    /// meant for one process.
+    std::function<identification()> identify{};
 };
 
 /// @brief Asynchronous HTTP/1.1 client for one endpoint over persistent
@@ -89,10 +109,6 @@
     /// without being sent.
     void close();
 
-    /// @brief Returns whether the next call finds an idle connection, so that
-    /// it reaches the process that answered the last one.
-    bool has_idle_connection();
-
     /// @brief Returns when 4 KB, or the first part, of an answer arrived last
     /// that is not complete yet.
     std::chrono::steady_clock::time_point last_part() const
--- a/include/mustardwick/entry/worker_links.hpp
+++ b/include/mustardwick/entry/worker_links.hpp
@@ -49,11 +49,17 @@
         int failures = 0;
         /// How often the next renewal has been postponed.
         int deferrals = 0;
-        /// The next renewal does not wait for an end of a run.
+        /// The next renewal only asks for a report, which the worker gives at
+        /// once, whichever incarnation it is.
         bool asks_at_once = false;
         std::uint64_t generation = 0;
+        /// Generation of the last renewal of that kind.
+        std::uint64_t asked = 0;
+        std::shared_ptr<jobs::fencing_tokens> tokens;
     };
 
+    void ask_at_once(const std::string& id);
+
     void renew(const std::string& id);
     void renewed(const std::string& id, std::uint64_t generation,
                  platform::renewal_reply reply);
--- a/include/mustardwick/jobs/worker.hpp
+++ b/include/mustardwick/jobs/worker.hpp
@@ -92,7 +92,8 @@
     bad_ticket,
     /// The worker is unhealthy and did not carry out the order.
     unhealthy,
-    /// Another incarnation of the worker answered.
+    /// Another incarnation of the worker has the address, or another worker; it
+    /// was not sent the order, or has not carried it out.
     other_incarnation,
     /// The order was malformed.
     invalid,
--- a/src/mustardwick/aio/http_channel.cpp
+++ b/src/mustardwick/aio/http_channel.cpp
@@ -91,17 +91,48 @@
     {
         owner_ = std::move(owner);
         current_ = std::move(next);
-        prepare();
+        deadline_ = current_->queued + current_->call.timeout;
         if (stream_.socket().is_open())
-            write();
+            begin_call();
         else
             connect();
     }
 
+    /// Returns whether a call may be sent over this connection.
+    bool is_meant(const http_call& call) const
+    {
+        return !call.process || call.process == process_;
+    }
+
 private:
-    void prepare()
+    void identify()
+    {
+        identification_ = owner_->options_.identify();
+        prepare(identification_->call);
+        write();
+    }
+
+    void identified(const http_result& result, bool keep)
+    {
+        process_ = identification_->process_of(result);
+        identification_.reset();
+        if (!keep || !process_)
+            return finish_failed(
+                transport_outcome::not_sent,
+                make_error_code(boost::system::errc::protocol_error));
+        begin_call();
+    }
+
+    void begin_call()
+    {
+        if (!is_meant(current_->call))
+            return finish_unsent();
+        prepare(current_->call);
+        write();
+    }
+
+    void prepare(const http_call& call)
     {
-        const auto& call = current_->call;
         request_ = {};
         request_.version(11);
         request_.method_string(call.method);
@@ -115,7 +146,6 @@
             request_.body() = call.body;
             request_.prepare_payload();
         }
-        deadline_ = current_->queued + call.timeout;
     }
 
     void connect()
@@ -135,7 +165,10 @@
                     return self->finish_failed(transport_outcome::not_sent,
                                                failed);
                 set_low_latency(self->stream_.socket());
-                self->write();
+                if (self->owner_->options_.identify)
+                    self->identify();
+                else
+                    self->begin_call();
             });
     }
 
@@ -264,6 +297,9 @@
     void finish_failed(transport_outcome end, error_code ec)
     {
         const bool timed_out = ec == beast::error::timeout || is_overdue_;
+        if (identification_)
+            end = transport_outcome::not_sent;
+        identification_.reset();
         stop_checking();
         error_code ignored;
         stream_.socket().close(ignored);
@@ -278,6 +314,24 @@
         call.done({end, 0, {}, ec.message()});
     }
 
+    /// The connection stays open for calls that are meant for its process.
+    void finish_unsent()
+    {
+        stream_.expires_never();
+        auto owner = std::move(owner_);
+        auto call = std::move(*current_);
+        current_.reset();
+        owner->released(shared_from_this(), true);
+        asio::post(owner->io_,
+                   [done = std::move(call.done)]
+                   {
+                       done({transport_outcome::other_process,
+                             0,
+                             {},
+                             "another process has the address"});
+                   });
+    }
+
     void finish_answered()
     {
         http_result out;
@@ -285,6 +339,8 @@
         out.status = parser_->get().result_int();
         out.body = std::move(parser_->get().body());
         const bool keep = parser_->keep_alive();
+        if (identification_)
+            return identified(out, keep);
         stream_.expires_never();
         auto owner = std::move(owner_);
         owner->last_part_ = {};
@@ -318,6 +374,10 @@
     bool is_large_ = false;
     /// check_sending() has ended the call.
     bool is_overdue_ = false;
+    /// Set while the call in flight is the one that identifies the peer.
+    std::optional<identification> identification_;
+    /// The process that the connection leads to, if it was identified.
+    std::optional<std::int64_t> process_;
 };
 
 http_channel::http_channel(asio::io_context& io, wire::endpoint peer,
@@ -352,7 +412,9 @@
     {
         auto it = std::move(idle_.back());
         idle_.pop_back();
-        if (it->is_usable())
+        // A connection that leads to another process is left over from a former
+        // one.
+        if (it->is_usable() && it->is_meant(next.call))
         {
             ++open_;
             it->run(shared_from_this(), std::move(next));
@@ -395,15 +457,6 @@
     }
 }
 
-bool http_channel::has_idle_connection()
-{
-    return std::any_of(idle_.begin(), idle_.end(),
-                       [](const auto& it)
-                       {
-                           return it->is_usable();
-                       });
-}
-
 void http_channel::drop_idle()
 {
     for (const auto& it : idle_)
--- a/src/mustardwick/aio/http_channel_test.cpp
+++ b/src/mustardwick/aio/http_channel_test.cpp
@@ -163,3 +163,84 @@
         channel->close();
     }
 }
+
+namespace
+{
+
+struct recipient_case
+{
+    const char* name;
+    std::int64_t meant;
+    transport_outcome end;
+    /// Calls that the second process receives after the identification.
+    int received;
+};
+
+} // namespace
+
+// Guards against a call that reaches another process than the one that it was
+// meant for, because that process has started at the same address (issue 48).
+Test(http_channel, sends_no_call_to_another_process_at_the_address)
+{
+    const recipient_case cases[] = {
+        {"former process", 1, transport_outcome::other_process, 0},
+        {"present process", 2, transport_outcome::answered, 1},
+    };
+    std::uint16_t port = 18'781;
+    for (const auto& it : cases)
+    {
+        boost::asio::io_context io;
+        const wire::endpoint where{"127.0.0.1", port++};
+        int received = 0;
+        const auto start_process = [&](int process)
+        {
+            auto out = std::make_unique<http_listener>(
+                io, where, "Deadline-Ms", aio::test::ample_guard(),
+                [&received, process](const auto& request, const auto& respond)
+                {
+                    const bool identifies = request.target == "/who";
+                    received += identifies ? 0 : 1;
+                    respond({200, std::to_string(process), "", {}});
+                });
+            cr_assert(out->start());
+            return out;
+        };
+        channel_options options;
+        options.identify = []
+        {
+            identification out;
+            out.call.target = "/who";
+            out.process_of = [](const http_result& result)
+            {
+                return std::optional<std::int64_t>(std::stoll(result.body));
+            };
+            return out;
+        };
+        const auto channel = std::make_shared<http_channel>(io, where, options);
+        const auto call = [&](std::int64_t process)
+        {
+            http_call out;
+            out.target = "/work";
+            out.process = process;
+            std::optional<http_result> result;
+            channel->send(std::move(out),
+                          [&](http_result answer)
+                          {
+                              result = std::move(answer);
+                              io.stop();
+                          });
+            io.restart();
+            io.run_for(milliseconds(3000));
+            cr_assert(result.has_value(), "%s", it.name);
+            return result->end;
+        };
+        auto process = start_process(1);
+        cr_assert(call(1) == transport_outcome::answered, "%s", it.name);
+        process.reset();
+        process = start_process(2);
+        received = 0;
+        cr_assert(call(it.meant) == it.end, "%s", it.name);
+        cr_assert_eq(received, it.received, "%s", it.name);
+        channel->close();
+    }
+}
--- a/src/mustardwick/entry/worker_links.cpp
+++ b/src/mustardwick/entry/worker_links.cpp
@@ -55,16 +55,22 @@
     it.info = info;
     const bool newly_listed = !it.listed;
     it.listed = true;
+    if (!it.tokens)
+        it.tokens = std::make_shared<jobs::fencing_tokens>(epoch_);
     if (moved)
     {
         ++it.generation;
-        it.client = std::make_unique<platform::worker_client>(io_, info.id,
-                                                              info.address);
+        it.client = std::make_unique<platform::worker_client>(
+            io_, info.id, info.address, it.tokens);
         it.timer = std::make_unique<boost::asio::steady_timer>(io_);
         it.failures = 0;
     }
     if (moved || newly_listed)
-        renew(info.id);
+        return renew(info.id);
+    const auto host = planner_.hosts().find(info.id);
+    if (host != planner_.hosts().end() && host->second.adopted &&
+        info.incarnation_start_ms > host->second.incarnation_start_ms)
+        ask_at_once(info.id);
 }
 
 void worker_links::unlisted(const std::string& id)
@@ -78,6 +84,14 @@
         return;
     // A worker that was lost would leave the renewal under way unanswered for
     // longer.
+    ask_at_once(id);
+}
+
+void worker_links::ask_at_once(const std::string& id)
+{
+    const auto it = links_.find(id);
+    if (it == links_.end() || it->second.asked == it->second.generation)
+        return;
     it->second.asks_at_once = true;
     renew(id);
 }
@@ -111,15 +125,20 @@
     it.deferrals = 0;
     ++it.generation;
     platform::lease_renewal renewal;
-    renewal.epoch = epoch_;
-    renewal.acknowledged_end = planner_.acknowledged_end(id);
-    renewal.deadline_ms = planner_.lease_deadline(id);
     // The first answer is needed immediately, to learn the worker's clock.
     const auto host = planner_.hosts().find(id);
     const bool adopted = host != planner_.hosts().end() && host->second.adopted;
     const bool asks_at_once = std::exchange(it.asks_at_once, false);
-    if (adopted && renewal.deadline_ms && !asks_at_once)
-        renewal.wait = max_renewal_wait;
+    if (asks_at_once)
+        it.asked = it.generation;
+    else if (adopted)
+    {
+        renewal.incarnation_start_ms = host->second.incarnation_start_ms;
+        renewal.acknowledged_end = planner_.acknowledged_end(id);
+        renewal.deadline_ms = planner_.lease_deadline(id);
+        if (renewal.deadline_ms)
+            renewal.wait = max_renewal_wait;
+    }
     metrics_.add("mustardwick_renewals_total");
     it.client->renew(renewal,
                      [self = shared_from_this(), id,
@@ -139,6 +158,8 @@
     auto& it = found->second;
     if (reply.fenced)
         return on_.fenced();
+    if (reply.other_incarnation)
+        return ask_at_once(id);
     if (reply.report)
     {
         it.failures = 0;
@@ -185,7 +206,7 @@
     const auto sent = clock_.now();
     auto& client = *found->second.client;
     client.start(
-        order, epoch_,
+        order,
         [self = shared_from_this(), order, sent](jobs::order_reply reply)
         {
             if (self->stopped_)
@@ -194,6 +215,8 @@
                 self->clock_.now() - sent;
             self->metrics_.observe("mustardwick_start_seconds", took.count());
             self->planner_.start_answered(order, reply);
+            if (reply.result == jobs::order_result::other_incarnation)
+                self->ask_at_once(order.worker);
             self->on_.changed();
             if (reply.result == jobs::order_result::fenced)
                 self->on_.fenced();
@@ -206,7 +229,7 @@
     if (found == links_.end() || !on_.has_authority())
         return;
     auto& client = *found->second.client;
-    client.stop(order, epoch_,
+    client.stop(order,
                 [self = shared_from_this(), order](jobs::order_reply reply)
                 {
                     if (self->stopped_)
--- a/src/mustardwick/entry/worker_links_test.cpp
+++ b/src/mustardwick/entry/worker_links_test.cpp
@@ -1,5 +1,11 @@
 #include "mustardwick/entry/worker_links.hpp"
 
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <criterion/criterion.h>
 
@@ -82,6 +88,86 @@
     boost::asio::ip::tcp::acceptor acceptor_;
 };
 
+/// A worker that starts again under its id without a trace on the network: the
+/// renewal under way stays open, and the new incarnation takes any call.
+class restarting_worker
+{
+public:
+    struct received_call
+    {
+        std::int64_t incarnation;
+        std::string target;
+        std::string body;
+    };
+
+    restarting_worker(boost::asio::io_context& io, std::uint16_t port)
+        : where({"127.0.0.1", port}),
+          listener_(io, where, "Deadline-Ms", aio::test::ample_guard(),
+                    [this](const auto& request, const auto& respond)
+                    {
+                        handle(request, respond);
+                    })
+    {
+        cr_assert(listener_.start(), "%s", base::last_error().text().c_str());
+    }
+
+    void start_again()
+    {
+        ++incarnation_;
+        // The new clock is far behind the former one.
+        clock_ms_ = 10;
+    }
+
+    std::int64_t incarnation() const
+    {
+        return incarnation_;
+    }
+
+    jobs::worker_info info() const
+    {
+        jobs::worker_info out;
+        out.id = "w0";
+        out.service = "s";
+        out.address = where;
+        out.capacity = {host_cores * 1000, 64'000, 0};
+        out.incarnation_start_ms = incarnation_;
+        return out;
+    }
+
+    std::size_t count(std::string_view target, std::int64_t incarnation) const
+    {
+        return std::count_if(calls.begin(), calls.end(),
+                             [&](const auto& it)
+                             {
+                                 return it.target == target &&
+                                        it.incarnation == incarnation;
+                             });
+    }
+
+    wire::endpoint where;
+    std::vector<received_call> calls;
+
+private:
+    void handle(const aio::incoming_request& request,
+                const aio::responder& respond)
+    {
+        calls.push_back({incarnation_, request.target, request.body});
+        if (request.body.find("wait_ms") != std::string::npos)
+            return waiting_.push_back(respond);
+        respond({200,
+                 R"({"clock_ms":)" + std::to_string(++clock_ms_) +
+                     R"(,"born":)" + std::to_string(incarnation_) +
+                     R"(,"running":[],"finished":[]})",
+                 "application/json",
+                 {}});
+    }
+
+    std::int64_t incarnation_ = incarnation_start;
+    std::int64_t clock_ms_ = 1'000'000;
+    std::vector<aio::responder> waiting_;
+    aio::http_listener listener_;
+};
+
 struct path_case
 {
     const char* name;
@@ -165,3 +251,31 @@
     links->stop();
     io.run_for(milliseconds(10));
 }
+
+// Guards against running a task twice because its worker started again between
+// two reports: the new incarnation took an order whose deadline was on the
+// clock of the former one, and held the run's lease for longer than the leader
+// knew (issue 48).
+Test(worker_links, gives_no_order_to_another_incarnation_than_was_meant)
+{
+    planner_fixture cell(1);
+    boost::asio::io_context io;
+    restarting_worker worker(io, 27439);
+    const auto links = make_links(io, cell);
+    cell.plan.worker_listed(worker.info());
+    links->listed(worker.info());
+    io.run_for(milliseconds(200));
+    cell.submit(make_job("j", "plain", {make_step(1, 1)}));
+    const auto order = cell.round().starts.at(0);
+    const auto former = worker.incarnation();
+    worker.start_again();
+    links->deliver({{order}, {}, {}});
+    io.run_for(milliseconds(300));
+    cr_assert_eq(worker.count("/v1/run-start", former), 0);
+    cr_assert_eq(worker.count("/v1/run-start", worker.incarnation()), 0);
+    // The leader learns of the new incarnation at once.
+    cr_assert_eq(cell.plan.hosts().at("w0").incarnation_start_ms,
+                 worker.incarnation());
+    links->stop();
+    io.run_for(milliseconds(10));
+}
--- a/testing/soak/restarted_worker_test.py
+++ b/testing/soak/restarted_worker_test.py
@@ -8,6 +8,7 @@
 import random
 import sys
 import tempfile
+import time
 
 from daemons import HOST, ZONES
 from given_up_test import Cell
@@ -23,6 +24,8 @@
 CUT_S = 11
 # Shorter than the time after which an unanswered renewal is given up.
 UNNOTICED_S = 2.4
+# Of the next incarnation before it is cut off.
+MIN_RUNS = 6
 # Of calls that are carried out late, from the begin of the cut on.
 LATE_S = 2.5
 
@@ -103,8 +106,10 @@
         await worker.next_renewal()
         worker.start_again()
         worker.withholds = False
-        await worker.next_renewal()
-        await asyncio.sleep(0.5)
+        worker.announces = True
+        deadline = time.monotonic() + 8
+        while len(worker.runs) < MIN_RUNS and time.monotonic() < deadline:
+            await asyncio.sleep(0.05)
 
     async def run(self, case):
         """Returns what went wrong."""
