--- a/include/mustardwick/aio/http_channel.hpp
+++ b/include/mustardwick/aio/http_channel.hpp
@@ -22,6 +22,9 @@
     std::string method = "POST";
     std::string target = "/";
     std::string body;
+    /// Makes the body when the call is sent, if it depends on what was sent
+    /// before.
+    std::function<std::string()> make_body;
     std::vector<std::pair<std::string, std::string>> headers;
     /// The process that the call is meant for, as channel_options::identify
     /// shows it. The call is sent to no other.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -429,6 +429,9 @@
     void update_clock(host_state& host, std::int64_t clock_ms);
 
     // planner_leases.cpp
+    /// @brief Returns by when a lease that a worker has granted up to now, or
+    /// grants to a call that is sent now, has ended.
+    time_point longest_lease_from_now() const;
     void handle_expired_leases();
     /// @brief Gives up all runs of a worker whose lease has ended.
     void give_up_runs(host_state& host);
--- a/include/mustardwick/entry/messages.hpp
+++ b/include/mustardwick/entry/messages.hpp
@@ -19,7 +19,8 @@
 /// and rewrites it.
 struct head_record
 {
-    /// Number of the leadership term; the fencing token of the leader's orders.
+    /// Number of the leadership term, and the highest fencing token of the
+    /// leader's orders; see jobs::fencing_tokens.
     std::int64_t epoch = 0;
     std::string leader;
     std::string address;
--- a/include/mustardwick/jobs/worker.hpp
+++ b/include/mustardwick/jobs/worker.hpp
@@ -95,6 +95,9 @@
     /// Another incarnation of the worker has the address, or another worker; it
     /// was not sent the order, or has not carried it out.
     other_incarnation,
+    /// A later call of this leader has reached the worker before, with a higher
+    /// fencing token; the order was not carried out.
+    overtaken,
     /// The order was malformed.
     invalid,
     /// No byte of the order was sent.
--- a/src/mustardwick/aio/http_channel.cpp
+++ b/src/mustardwick/aio/http_channel.cpp
@@ -143,7 +143,7 @@
         if (!call.body.empty() || call.method == "POST")
         {
             request_.set(http::field::content_type, "application/json");
-            request_.body() = call.body;
+            request_.body() = call.make_body ? call.make_body() : call.body;
             request_.prepare_payload();
         }
     }
--- a/src/mustardwick/dispatch/planner_leases.cpp
+++ b/src/mustardwick/dispatch/planner_leases.cpp
@@ -36,13 +36,16 @@
     if (!host.reachable || host.lease_is_stored)
         return std::nullopt;
     host.renewed = clock_.now();
-    // A worker's clock may be 2 % slow.
-    host.lease_bound = std::max(host.lease_bound,
-                                clock_.now() + options_.max_lease * 100 / 98 +
-                                    milliseconds(100));
+    host.lease_bound = std::max(host.lease_bound, longest_lease_from_now());
     return estimated_clock(host) + options_.max_lease.count();
 }
 
+planner::time_point planner::longest_lease_from_now() const
+{
+    // A worker's clock may be 2 % slow.
+    return clock_.now() + options_.max_lease * 100 / 98 + milliseconds(100);
+}
+
 void planner::handle_expired_leases()
 {
     const auto now = clock_.now();
--- a/src/mustardwick/dispatch/planner_leases_test.cpp
+++ b/src/mustardwick/dispatch/planner_leases_test.cpp
@@ -260,3 +260,24 @@
                      it.name);
     }
 }
+
+// Guards against giving up runs of a worker's new incarnation too early
+// (TWICE): calls that were meant for the former one have given it a lease that
+// the leader did not count (issue 48).
+Test(planner_leases, of_a_new_incarnation_count_calls_to_the_former_one)
+{
+    planner_fixture cell(1);
+    cell.submit(make_job("j", "plain", {make_step(1, 1)}));
+    const auto order = cell.run_round().starts.at(0);
+    cell.plan.lease_deadline(order.worker);
+    cell.add_host("w1");
+    cell.clock.advance(milliseconds(4000));
+    // The order has reached the new incarnation.
+    cell.report(order.worker, {{order.task, order.run, "", 0}}, {},
+                incarnation_start + 1);
+    cell.plan.worker_unresponsive(order.worker);
+    for (int it = 0; it < 30; ++it)
+        cr_assert(cell.round().starts.empty(), "%d", it);
+    cell.clock.advance(milliseconds(500));
+    cr_assert_eq(cell.round().starts.size(), 1);
+}
--- a/src/mustardwick/dispatch/planner_orders.cpp
+++ b/src/mustardwick/dispatch/planner_orders.cpp
@@ -22,10 +22,10 @@
 
 std::string_view name_of(jobs::order_result result)
 {
-    constexpr std::array<std::string_view, 11> names = {
-        "accepted", "fenced",     "stale_run", "expired",
-        "no_room",  "bad_ticket", "unhealthy", "other_life",
-        "invalid",  "not_sent",   "unknown"};
+    constexpr std::array<std::string_view, 12> names = {
+        "accepted",  "fenced",     "stale_run", "expired",
+        "no_room",   "bad_ticket", "unhealthy", "other_life",
+        "overtaken", "invalid",    "not_sent",  "unknown"};
     return names.at(static_cast<std::size_t>(result));
 }
 
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -372,6 +372,9 @@
                                 const jobs::worker_report& report)
 {
     host.incarnation_start_ms = report.incarnation_start_ms;
+    // Calls that were meant for the former incarnation may have reached this
+    // one before it was asked for the report, with deadlines of another clock.
+    host.lease_bound = std::max(host.lease_bound, longest_lease_from_now());
     std::set<run_key> listed;
     for (const auto& it : report.running)
         listed.insert({it.task, it.run});
--- a/src/mustardwick/entry/cell_leader_load.cpp
+++ b/src/mustardwick/entry/cell_leader_load.cpp
@@ -5,6 +5,7 @@
 #include "mustardwick/base/error.hpp"
 #include "mustardwick/base/log.hpp"
 #include "mustardwick/entry/table_scan.hpp"
+#include "mustardwick/jobs/fencing.hpp"
 #include "mustardwick/wire/codec.hpp"
 #include "platform/operator_rows.hpp"
 
@@ -78,7 +79,7 @@
     if (!stored)
         return log_event(log_level::warning, "leader", "lease_row_unreadable",
                          {{"reason", base::last_error().text()}});
-    if (stored->epoch + 1 != head_.epoch)
+    if (jobs::next_epoch(stored->epoch) != head_.epoch)
         return;
     for (const auto& it : stored->leases)
         if (const auto bound = env_.store.clock().from_store(it.end_ms))
--- a/src/mustardwick/entry/entry_node.cpp
+++ b/src/mustardwick/entry/entry_node.cpp
@@ -3,6 +3,7 @@
 #include "mustardwick/base/error.hpp"
 #include "mustardwick/base/identity.hpp"
 #include "mustardwick/base/log.hpp"
+#include "mustardwick/jobs/fencing.hpp"
 #include "mustardwick/wire/codec.hpp"
 #include "platform/caller_headers.hpp"
 
@@ -225,7 +226,7 @@
 {
     update_leader(head.epoch, head.leader, options.peers);
     const bool was_offered =
-        accepted_offer && accepted_offer->epoch + 1 == head.epoch;
+        accepted_offer && jobs::next_epoch(accepted_offer->epoch) == head.epoch;
     leader = std::make_shared<cell_leader>(
         cell_leader::environment{
             io, clock, suspensions, options, store, *peers, advice, metrics,
--- a/src/mustardwick/entry/leader_candidate.cpp
+++ b/src/mustardwick/entry/leader_candidate.cpp
@@ -5,6 +5,7 @@
 #include "mustardwick/base/identity.hpp"
 #include "mustardwick/base/log.hpp"
 #include "mustardwick/entry/cell_leader.hpp"
+#include "mustardwick/jobs/fencing.hpp"
 #include "mustardwick/wire/codec.hpp"
 
 namespace mustardwick::entry
@@ -108,7 +109,7 @@
         return;
     // The version is known, so reading the row first is unnecessary.
     if (offer.head_version != 0)
-        acquire(offer.epoch + 1, offer.head_version);
+        acquire(jobs::next_epoch(offer.epoch), offer.head_version);
     else
         read_head();
 }
@@ -169,7 +170,7 @@
                                      return row.address == head_address();
                                  });
     if (it == reply.rows.end())
-        return acquire(1, 0);
+        return acquire(jobs::next_epoch(0), 0);
     const auto head = wire::decode<head_record>(it->value);
     if (!head)
     {
@@ -181,7 +182,7 @@
     const bool own = head->leader == self_.name;
     const bool free = head->released && succession_tier_ == 0;
     if (free || own || taking_over_)
-        return acquire(head->epoch + 1, it->version);
+        return acquire(jobs::next_epoch(head->epoch), it->version);
     if (observed_version_ != it->version)
     {
         observed_version_ = it->version;
@@ -191,7 +192,7 @@
         return;
     }
     if (head->released && now - observed_since_ >= succession_delay())
-        return acquire(head->epoch + 1, it->version);
+        return acquire(jobs::next_epoch(head->epoch), it->version);
     const bool refused = head->epoch == refused_epoch_;
     auto wait = refused ? takeover_delay_when_refused : takeover_delay;
     if (now - read_started_ > slow_read)
@@ -199,7 +200,7 @@
     wait += succession_delay();
     if (now - observed_since_ >= wait &&
         now - last_heartbeat_ >= leader_timeout)
-        acquire(head->epoch + 1, it->version);
+        acquire(jobs::next_epoch(head->epoch), it->version);
 }
 
 void leader_candidate::acquire(std::int64_t epoch, std::int64_t version)
--- a/src/mustardwick/entry/leader_candidate_test.cpp
+++ b/src/mustardwick/entry/leader_candidate_test.cpp
@@ -8,6 +8,7 @@
 #include <criterion/criterion.h>
 
 #include "head_store_test.hpp"
+#include "mustardwick/jobs/fencing.hpp"
 #include "mustardwick/wire/codec.hpp"
 
 using namespace mustardwick;
@@ -91,7 +92,7 @@
         cr_assert_eq(cell.acquires_within(milliseconds(500)), it.acquired);
         cr_assert_eq(cell.store.calls, 1);
         if (cell.head)
-            cr_assert_eq(cell.head->epoch, 8);
+            cr_assert_eq(cell.head->epoch, jobs::next_epoch(7));
     }
 }
 
@@ -138,7 +139,7 @@
         cr_assert_eq(cell.acquires_within(milliseconds(it.renews ? 2000 : 500)),
                      it.acquired);
         if (cell.head)
-            cr_assert_eq(cell.head->epoch, 8);
+            cr_assert_eq(cell.head->epoch, jobs::next_epoch(7));
     }
 }
 
@@ -201,7 +202,7 @@
                       it.name);
         cr_assert(cell.acquires_within(milliseconds(it.max_ms - it.min_ms)),
                   "%s", it.name);
-        cr_assert_eq(cell.head->epoch, 8, "%s", it.name);
+        cr_assert_eq(cell.head->epoch, jobs::next_epoch(7), "%s", it.name);
     }
 }
 
@@ -236,6 +237,6 @@
         cr_assert_not(cell.acquires_within(milliseconds(1800)), "%s", it.name);
         cell.configured = true;
         cr_assert(cell.acquires_within(milliseconds(700)), "%s", it.name);
-        cr_assert_eq(cell.head->epoch, 8, "%s", it.name);
+        cr_assert_eq(cell.head->epoch, jobs::next_epoch(7), "%s", it.name);
     }
 }
--- a/src/mustardwick/entry/worker_links_test.cpp
+++ b/src/mustardwick/entry/worker_links_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,7 +35,7 @@
                                          planner_fixture& cell)
 {
     return std::make_shared<worker_links>(io, cell.clock, cell.metrics,
-                                          cell.plan, 1,
+                                          cell.plan, jobs::next_epoch(0),
                                           worker_links::events{[] {}, [] {},
                                                                []
                                                                {
@@ -88,6 +89,14 @@
     boost::asio::ip::tcp::acceptor acceptor_;
 };
 
+std::int64_t token_of(const std::string& body)
+{
+    const std::string field = "\"fencing_token\":";
+    const auto it = body.find(field);
+    cr_assert_neq(it, std::string::npos, "%s", body.c_str());
+    return std::stoll(body.substr(it + field.size()));
+}
+
 /// A worker that starts again under its id without a trace on the network: the
 /// renewal under way stays open, and the new incarnation takes any call.
 class restarting_worker
@@ -279,3 +288,32 @@
     links->stop();
     io.run_for(milliseconds(10));
 }
+
+// Guards against running a task twice because a call that was meant for a
+// worker's former incarnation was carried out late: it lengthened the lease of
+// the new incarnation, or made it forget ends that were never applied (issue
+// 48). The worker ignores calls with a lower fencing token.
+Test(worker_links, void_calls_of_a_former_incarnation)
+{
+    planner_fixture cell(1);
+    boost::asio::io_context io;
+    restarting_worker worker(io, 27457);
+    const auto links = make_links(io, cell);
+    links->listed(worker.info());
+    io.run_for(milliseconds(200));
+    const auto former = worker.incarnation();
+    worker.start_again();
+    io.run_for(milliseconds(3300));
+    std::int64_t highest = 0;
+    auto lowest = std::numeric_limits<std::int64_t>::max();
+    for (const auto& it : worker.calls)
+        if (it.incarnation == former)
+            highest = std::max(highest, token_of(it.body));
+        else
+            lowest = std::min(lowest, token_of(it.body));
+    cr_assert_gt(worker.count("/v1/hold", former), 0);
+    cr_assert_gt(worker.count("/v1/hold", worker.incarnation()), 0);
+    cr_assert_gt(lowest, highest);
+    links->stop();
+    io.run_for(milliseconds(10));
+}
