--- a/testing/soak/restarted_worker_test.py
+++ b/testing/soak/restarted_worker_test.py
@@ -26,8 +26,10 @@
 UNNOTICED_S = 2.4
 # Of the next incarnation before it is cut off.
 MIN_RUNS = 6
-# Of calls that are carried out late, from the begin of the cut on.
+# Of renewals that are carried out late, from the begin of the cut on.
 LATE_S = 2.5
+# Of orders that are carried out late, when the lease has ended.
+LATE_ORDER_S = 7.5
 
 
 class RestartingWorker(Worker):
@@ -111,6 +113,14 @@
         while len(worker.runs) < MIN_RUNS and time.monotonic() < deadline:
             await asyncio.sleep(0.05)
 
+    async def late_orders_behind_a_cut(self, worker):
+        """Orders of the former incarnation reach the next one, which has started
+        behind the cut, so that no call of a leader has reached it."""
+        worker.withholds = True
+        await asyncio.sleep(0.6)
+        worker.fault = "cut"
+        worker.start_again()
+
     async def run(self, case):
         """Returns what went wrong."""
         await self.start()
@@ -118,19 +128,21 @@
         handing_in = asyncio.ensure_future(self.hand_in_jobs())
         await asyncio.sleep(3)
         worker = self.workers[0]
-        await CASES[case](self, worker)
+        prepare, late_s = CASES[case]
+        await prepare(self, worker)
         worker.fault = "cut"
         self.sending = False
         await handing_in
-        await asyncio.sleep(LATE_S)
+        await asyncio.sleep(late_s)
         await worker.carry_out_withheld()
-        await asyncio.sleep(CUT_S - LATE_S)
+        await asyncio.sleep(CUT_S - late_s)
         return self.promises.violations
 
 
 CASES = {
-    "unnoticed": RestartCell.order_to_the_next_incarnation,
-    "late-calls": RestartCell.late_calls,
+    "unnoticed": (RestartCell.order_to_the_next_incarnation, LATE_S),
+    "late-calls": (RestartCell.late_calls, LATE_S),
+    "behind-a-cut": (RestartCell.late_orders_behind_a_cut, LATE_ORDER_S),
 }
 
 
