--- a/include/mustardwick/entry/worker_links.hpp
+++ b/include/mustardwick/entry/worker_links.hpp
@@ -55,9 +55,9 @@
         std::uint64_t generation = 0;
         /// Generation of the last renewal of that kind.
         std::uint64_t asked = 0;
-        std::shared_ptr<jobs::fencing_tokens> tokens;
     };
 
+    /// @brief Asks a worker for a report, unless it is being asked.
     void ask_at_once(const std::string& id);
 
     void renew(const std::string& id);
@@ -74,6 +74,10 @@
     std::int64_t epoch_;
     events on_;
     std::map<std::string, link, std::less<>> links_;
+    /// Tokens of each worker that this leader has called, also while it has no
+    /// link: a worker refuses tokens that are used again.
+    std::map<std::string, std::shared_ptr<jobs::fencing_tokens>, std::less<>>
+        tokens_;
     bool stopped_ = false;
 };
 
--- a/src/mustardwick/entry/worker_links.cpp
+++ b/src/mustardwick/entry/worker_links.cpp
@@ -55,13 +55,14 @@
     it.info = info;
     const bool newly_listed = !it.listed;
     it.listed = true;
-    if (!it.tokens)
-        it.tokens = std::make_shared<jobs::fencing_tokens>(epoch_);
+    auto& tokens = tokens_[info.id];
+    if (!tokens)
+        tokens = std::make_shared<jobs::fencing_tokens>(epoch_);
     if (moved)
     {
         ++it.generation;
         it.client = std::make_unique<platform::worker_client>(
-            io_, info.id, info.address, it.tokens);
+            io_, info.id, info.address, tokens);
         it.timer = std::make_unique<boost::asio::steady_timer>(io_);
         it.failures = 0;
     }
--- a/src/mustardwick/entry/worker_links_test.cpp
+++ b/src/mustardwick/entry/worker_links_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -317,3 +318,32 @@
     links->stop();
     io.run_for(milliseconds(10));
 }
+
+// Guards against a leader that steps down because a worker which was dropped
+// and is listed again refuses tokens that it has seen before (issue 48).
+Test(worker_links, uses_no_token_again_when_a_worker_returns)
+{
+    planner_fixture cell(1);
+    boost::asio::io_context io;
+    const auto links = make_links(io, cell);
+    std::int64_t highest = 0;
+    for (int visit = 0; visit < 2; ++visit)
+    {
+        std::optional<restarting_worker> worker;
+        worker.emplace(io, 27459);
+        io.restart();
+        links->listed(worker->info());
+        io.run_for(milliseconds(200));
+        cr_assert_geq(worker->calls.size(), 2);
+        for (const auto& it : worker->calls)
+            cr_assert_gt(token_of(it.body), highest);
+        for (const auto& it : worker->calls)
+            highest = std::max(highest, token_of(it.body));
+        links->unlisted("w0");
+        worker.reset();
+        // Until it is dropped, after three attempts.
+        io.run_for(milliseconds(3500));
+    }
+    links->stop();
+    io.run_for(milliseconds(10));
+}
