--- a/src/mustardwick/aio/http_channel.cpp
+++ b/src/mustardwick/aio/http_channel.cpp
@@ -382,7 +382,7 @@
 
 http_channel::http_channel(asio::io_context& io, wire::endpoint peer,
                            channel_options options)
-    : io_(io), peer_(std::move(peer)), options_(options)
+    : io_(io), peer_(std::move(peer)), options_(std::move(options))
 {
 }
 
