--- a/src/mustardwick/dispatch/planner_leases_test.cpp
+++ b/src/mustardwick/dispatch/planner_leases_test.cpp
@@ -281,3 +281,29 @@
     cell.clock.advance(milliseconds(500));
     cr_assert_eq(cell.round().starts.size(), 1);
 }
+
+// Guards against a successor that relies on the end of a lease of a worker's
+// former incarnation (TWICE).
+Test(planner_leases, of_a_new_incarnation_are_stored_with_an_end_of_their_own)
+{
+    leader first(milliseconds(0));
+    first.take_over({});
+    first.list("w0");
+    const jobs::running_run run{{"j", 0, 0, 0}, 1, "", 0};
+    first.report("w0", {run});
+    // The bound of the former leader has passed by then.
+    first.clock.advance(milliseconds(4000));
+    cr_assert(first.plan.lease_deadline("w0").has_value());
+    first.plan.worker_unresponsive("w0");
+    first.list("w1");
+    cr_assert_not(first.starts_within(milliseconds(1500)));
+    cr_assert_eq(first.stored.size(), 1);
+    const auto former = first.stored[0];
+    // It answers and is silent again before its removal is stored.
+    first.plan.worker_reported("w0", {5, incarnation_start + 1, {run}, {}});
+    first.plan.worker_unresponsive("w0");
+    const auto stored = first.plan.store_lapsing_leases(first.storing(true));
+    cr_assert_eq(stored.size(), 1);
+    cr_assert_eq(stored[0].incarnation_start_ms, incarnation_start + 1);
+    cr_assert_gt(stored[0].end_ms, former.end_ms + 1000);
+}
