--- a/include/mustardwick/aio/http_channel.hpp
+++ b/include/mustardwick/aio/http_channel.hpp
@@ -75,8 +75,9 @@
 struct identification
 {
     http_call call;
-    /// Returns which process has answered the call; std::nullopt if the answer
-    /// does not tell, and the connection is closed.
+    /// Returns which process has answered the call; the numbers of processes
+    /// that follow each other at an address rise. std::nullopt if the answer
+    /// does not tell: the connection is closed after the second such answer.
     std::function<std::optional<std::int64_t>(const http_result&)> process_of;
 };
 
@@ -144,6 +145,8 @@
     void dispatch(waiting_call next);
     void released(const std::shared_ptr<connection>& it, bool reusable);
     void drop_idle();
+    /// @brief Ends a call that is meant for another process.
+    void refuse(http_callback done);
 
     boost::asio::io_context& io_;
     wire::endpoint peer_;
--- a/include/mustardwick/entry/worker_links.hpp
+++ b/include/mustardwick/entry/worker_links.hpp
@@ -65,6 +65,9 @@
                  platform::renewal_reply reply);
     void renew_after(link& it, std::chrono::milliseconds delay);
     void start(const dispatch::start_order& order);
+    /// @brief Handles that an order was meant for another incarnation than the
+    /// worker's present one.
+    void met_other_incarnation(const dispatch::start_order& order);
     void stop_run(const dispatch::stop_order& order);
 
     boost::asio::io_context& io_;
--- a/src/mustardwick/aio/http_channel.cpp
+++ b/src/mustardwick/aio/http_channel.cpp
@@ -104,6 +104,13 @@
         return !call.process || call.process == process_;
     }
 
+    /// Returns whether a call is meant for a process that has ended, since the
+    /// connection leads to a later one.
+    bool is_too_late(const http_call& call) const
+    {
+        return call.process && process_ && *call.process < *process_;
+    }
+
 private:
     void identify()
     {
@@ -116,6 +123,9 @@
     {
         process_ = identification_->process_of(result);
         identification_.reset();
+        // The identification of another connection may have overtaken it.
+        if (!process_ && keep && !std::exchange(has_identified_again_, true))
+            return identify();
         if (!keep || !process_)
             return finish_failed(
                 transport_outcome::not_sent,
@@ -322,14 +332,7 @@
         auto call = std::move(*current_);
         current_.reset();
         owner->released(shared_from_this(), true);
-        asio::post(owner->io_,
-                   [done = std::move(call.done)]
-                   {
-                       done({transport_outcome::other_process,
-                             0,
-                             {},
-                             "another process has the address"});
-                   });
+        owner->refuse(std::move(call.done));
     }
 
     void finish_answered()
@@ -376,6 +379,7 @@
     bool is_overdue_ = false;
     /// Set while the call in flight is the one that identifies the peer.
     std::optional<identification> identification_;
+    bool has_identified_again_ = false;
     /// The process that the connection leads to, if it was identified.
     std::optional<std::int64_t> process_;
 };
@@ -412,6 +416,11 @@
     {
         auto it = std::move(idle_.back());
         idle_.pop_back();
+        if (it->is_usable() && it->is_too_late(next.call))
+        {
+            idle_.push_back(std::move(it));
+            return refuse(std::move(next.done));
+        }
         // A connection that leads to another process is left over from a former
         // one.
         if (it->is_usable() && it->is_meant(next.call))
@@ -457,6 +466,18 @@
     }
 }
 
+void http_channel::refuse(http_callback done)
+{
+    asio::post(io_,
+               [done = std::move(done)]
+               {
+                   done({transport_outcome::other_process,
+                         0,
+                         {},
+                         "another process has the address"});
+               });
+}
+
 void http_channel::drop_idle()
 {
     for (const auto& it : idle_)
--- a/src/mustardwick/entry/worker_links.cpp
+++ b/src/mustardwick/entry/worker_links.cpp
@@ -161,6 +161,8 @@
         return on_.fenced();
     if (reply.other_incarnation)
         return ask_at_once(id);
+    if (reply.overtaken)
+        return renew_after(it, renewal_delay);
     if (reply.report)
     {
         it.failures = 0;
@@ -217,13 +219,23 @@
             self->metrics_.observe("mustardwick_start_seconds", took.count());
             self->planner_.start_answered(order, reply);
             if (reply.result == jobs::order_result::other_incarnation)
-                self->ask_at_once(order.worker);
+                self->met_other_incarnation(order);
             self->on_.changed();
             if (reply.result == jobs::order_result::fenced)
                 self->on_.fenced();
         });
 }
 
+void worker_links::met_other_incarnation(const dispatch::start_order& order)
+{
+    // Once the worker has reported, other orders that were decided before tell
+    // nothing new.
+    const auto host = planner_.hosts().find(order.worker);
+    if (host != planner_.hosts().end() &&
+        host->second.incarnation_start_ms == order.worker_incarnation_start_ms)
+        ask_at_once(order.worker);
+}
+
 void worker_links::stop_run(const dispatch::stop_order& order)
 {
     const auto found = links_.find(order.worker);
--- a/src/mustardwick/entry/worker_links_test.cpp
+++ b/src/mustardwick/entry/worker_links_test.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -178,6 +180,94 @@
     aio::http_listener listener_;
 };
 
+/// A worker that handles one call only after the identification that follows
+/// it, as calls on different connections can overtake each other.
+class overtaking_worker
+{
+public:
+    enum class delayed_call
+    {
+        identification,
+        renewal
+    };
+
+    overtaking_worker(boost::asio::io_context& io, std::uint16_t port,
+                      delayed_call delayed)
+        : delayed_(delayed),
+          listener_(io, {"127.0.0.1", port}, "Deadline-Ms",
+                    aio::test::ample_guard(),
+                    [this](const auto& request, const auto& respond)
+                    {
+                        handle(request, respond);
+                    })
+    {
+        cr_assert(listener_.start(), "%s", base::last_error().text().c_str());
+    }
+
+    std::size_t starts = 0;
+    std::size_t refused = 0;
+
+private:
+    void handle(const aio::incoming_request& request,
+                const aio::responder& respond)
+    {
+        const auto token = token_of(request.body);
+        const bool is_start = request.target == "/v1/run-start";
+        const bool waits = request.body.find("wait_ms") != std::string::npos;
+        const bool identifies = !is_start && !waits;
+        identifications_ += identifies ? 1 : 0;
+        starts += is_start ? 1 : 0;
+        // The first one is that of the connection for renewals.
+        const bool is_delayed = delayed_ == delayed_call::renewal
+                                    ? waits
+                                    : identifies && identifications_ == 2;
+        if (is_delayed && !held_ && refused == 0)
+        {
+            held_ = [this, token, respond]
+            {
+                carry_out(token, respond);
+            };
+            return;
+        }
+        if (waits)
+        {
+            highest_ = std::max(highest_, token);
+            return waiting_.push_back(respond);
+        }
+        carry_out(token, respond);
+        if (identifies && held_)
+            std::exchange(held_, nullptr)();
+    }
+
+    void carry_out(std::int64_t token, const aio::responder& respond)
+    {
+        const bool is_refused = token < highest_;
+        refused += is_refused ? 1 : 0;
+        highest_ = std::max(highest_, token);
+        respond({is_refused ? 409 : 200,
+                 is_refused ? R"({"clock_ms":1000500,"reason":"fence"})"
+                            : R"({"clock_ms":1000500,"born":)" +
+                                  std::to_string(incarnation_start) +
+                                  R"(,"running":[],"finished":[]})",
+                 "application/json",
+                 {}});
+    }
+
+    delayed_call delayed_;
+    std::int64_t highest_ = 0;
+    int identifications_ = 0;
+    std::function<void()> held_;
+    std::vector<aio::responder> waiting_;
+    aio::http_listener listener_;
+};
+
+struct overtaken_case
+{
+    const char* name;
+    overtaking_worker::delayed_call delayed;
+    std::uint16_t port;
+};
+
 struct path_case
 {
     const char* name;
@@ -347,3 +437,74 @@
     links->stop();
     io.run_for(milliseconds(10));
 }
+
+// Guards against a start that is given up, and a worker that counts as
+// unresponsive, because an identification of the same leader with a higher
+// token has overtaken a call (review of issue 48).
+Test(worker_links, repeat_calls_that_an_identification_has_overtaken)
+{
+    const overtaken_case cases[] = {
+        {"identification", overtaking_worker::delayed_call::identification,
+         27497},
+        {"renewal", overtaking_worker::delayed_call::renewal, 27499},
+    };
+    for (const auto& it : cases)
+    {
+        planner_fixture cell(1);
+        boost::asio::io_context io;
+        overtaking_worker worker(io, it.port, it.delayed);
+        const auto links = make_links(io, cell);
+        jobs::worker_info info;
+        info.id = "w0";
+        info.service = "s";
+        info.address = {"127.0.0.1", it.port};
+        info.capacity = {host_cores * 1000, 64'000, 0};
+        cell.plan.worker_listed(info);
+        links->listed(info);
+        io.run_for(milliseconds(200));
+        cell.submit(make_job("j", "plain", {make_step(2, 1)}));
+        const auto orders = cell.round();
+        cr_assert_eq(orders.starts.size(), 2, "%s", it.name);
+        links->deliver({orders.starts, {}, {}});
+        for (int n = 0; n < 10; ++n)
+        {
+            io.run_for(milliseconds(20));
+            cr_assert(cell.plan.hosts().at("w0").reachable, "%s", it.name);
+        }
+        cr_assert_gt(worker.refused, 0, "%s", it.name);
+        cr_assert_eq(worker.starts, 2, "%s: %zu starts, %zu refused", it.name,
+                     worker.starts, worker.refused);
+        links->stop();
+        io.run_for(milliseconds(10));
+    }
+}
+
+// Guards against a worker that counts as unresponsive after it has started
+// again, because each order that was decided before asks it for a report
+// (review of issue 48).
+Test(worker_links, ask_a_restarted_worker_once)
+{
+    planner_fixture cell(1);
+    boost::asio::io_context io;
+    restarting_worker worker(io, 27495);
+    const auto links = make_links(io, cell);
+    cell.plan.worker_listed(worker.info());
+    links->listed(worker.info());
+    io.run_for(milliseconds(200));
+    cell.submit(make_job("j", "plain", {make_step(8, 1)}));
+    const auto orders = cell.round();
+    cr_assert_eq(orders.starts.size(), 8);
+    worker.start_again();
+    worker.calls.clear();
+    links->deliver({orders.starts, {}, {}});
+    for (int n = 0; n < 15; ++n)
+    {
+        io.run_for(milliseconds(100));
+        cr_assert(cell.plan.hosts().at("w0").reachable, "%d", n);
+    }
+    // Three connections are identified, a report is asked for, and the lease is
+    // renewed.
+    cr_assert_leq(worker.calls.size(), 6);
+    links->stop();
+    io.run_for(milliseconds(10));
+}
