--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -72,6 +72,11 @@
     std::int64_t order_expiry_ms = 0;
     /// When the order was sent, unless a former leader sent it.
     std::optional<base::steady_time> ordered;
+    /// Until when the order is outstanding: it was not answered, and an
+    /// incarnation of the worker may still carry it out. Empty once its effect
+    /// is known, and for an order with a ticket, which holds for one
+    /// incarnation.
+    std::optional<base::steady_time> outstanding_until;
     /// Worker clock reading when the start was accepted.
     std::int64_t started_clock_ms = 0;
     base::steady_time started;
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -38,6 +38,9 @@
     /// Validity of a start order on the worker's clock. An unanswered order
     /// expires after it, which bounds how long its capacity stays occupied.
     std::chrono::milliseconds start_validity{1500};
+    /// Longest time after which a call that was not answered may still be
+    /// carried out, by whichever incarnation of the worker.
+    std::chrono::milliseconds max_delivery_delay{12'000};
     /// How long a former leader may continue to renew leases.
     std::chrono::milliseconds former_leader_authority{2500};
     /// How long the state of a finished job can be queried.
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -330,6 +330,9 @@
         it->second.phase = run_phase::ordered;
         it->second.ordered = clock_.now();
         it->second.order_expiry_ms = order.deadline_ms;
+        if (order.ticket.empty())
+            it->second.outstanding_until =
+                clock_.now() + options_.max_delivery_delay;
         host.lease_bound =
             std::max(host.lease_bound, clock_.now() +
                                            options_.start_validity * 100 / 98 +
--- a/src/mustardwick/dispatch/planner_orders.cpp
+++ b/src/mustardwick/dispatch/planner_orders.cpp
@@ -39,6 +39,16 @@
     if (found == hosts_.end())
         return;
     auto& host = found->second;
+    // Without the worker's clock no report can be known to be later than the
+    // start.
+    const auto result =
+        reply.result == order_result::accepted && reply.clock_ms == 0
+            ? order_result::unknown
+            : reply.result;
+    const run_key key{order.task, order.run};
+    const auto it = host.runs.find(key);
+    if (it != host.runs.end() && result != order_result::unknown)
+        it->second.outstanding_until.reset();
     // What a former incarnation replied says nothing about the present one,
     // which was sent a stop of each run that it does not list.
     if (order.worker_incarnation_start_ms != host.incarnation_start_ms)
@@ -47,16 +57,8 @@
     // Another worker at the address answers with its own clock.
     if (reply.clock_ms != 0 && reply.result != order_result::other_incarnation)
         update_clock(host, reply.clock_ms);
-    const run_key key{order.task, order.run};
-    const auto it = host.runs.find(key);
     if (it == host.runs.end())
         return;
-    // Without the worker's clock no report can be known to be later than the
-    // start.
-    const auto result =
-        reply.result == order_result::accepted && reply.clock_ms == 0
-            ? order_result::unknown
-            : reply.result;
     if (result == order_result::accepted)
     {
         metrics_.add("mustardwick_starts_total");
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -146,6 +146,7 @@
     }
     auto& run = it->second;
     run.confirmed = true;
+    run.outstanding_until.reset();
     run.listed_in = host.report;
     run.tail_ms = run.is_latency_sensitive() ? listed.load : 0;
     sample_tail(host, run);
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -210,11 +210,13 @@
     const auto it = host.runs.find(key);
     if (it == host.runs.end())
         return;
-    log_event(log_level::info, "planner", "run_lost",
-              {{"task", to_string(key.first)},
-               {"run", key.second},
-               {"worker", host.info.id},
-               {"reason", reason}});
+    log_event(
+        log_level::info, "planner", "run_lost",
+        {{"task", to_string(key.first)},
+         {"run", key.second},
+         {"worker", host.info.id},
+         {"reason", reason},
+         {"order_outstanding", int(it->second.outstanding_until.has_value())}});
     const auto task = key.first;
     const auto run = key.second;
     const auto checkpoint = it->second.checkpoint;
@@ -322,6 +324,8 @@
     const bool ran_well = run != host.runs.end() && run->second.long_running &&
                           run->second.phase == run_phase::started &&
                           clock_.now() - run->second.started > healthy_run_time;
+    if (run != host.runs.end())
+        run->second.outstanding_until.reset();
     if (run != host.runs.end() && end.outcome == jobs::run_outcome::done)
         record_run_time(host, run->second);
     remove_run(host, {end.task, end.run});
