--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -77,6 +77,8 @@
     /// is known, and for an order with a ticket, which holds for one
     /// incarnation.
     std::optional<base::steady_time> outstanding_until;
+    /// Version of the row that names the assignment.
+    std::int64_t stored_in = 0;
     /// Worker clock reading when the start was accepted.
     std::int64_t started_clock_ms = 0;
     base::steady_time started;
@@ -109,6 +111,9 @@
     /// Upper bound of the lease: nothing runs there after this time unless the
     /// lease is renewed.
     base::steady_time lease_bound;
+    /// No call of this leader that lengthens a lease is carried out after this
+    /// time.
+    base::steady_time calls_until;
     /// When this leader sent the last renewal that lengthened the lease.
     std::optional<base::steady_time> renewed;
     /// When the last report arrived.
--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -33,7 +33,26 @@
     /// Its tasks would be in time only if they started together.
     kept_for_whole_start,
     /// The hosts that it may use have too little free capacity.
-    without_capacity
+    without_capacity,
+    /// An earlier order of each task may still be carried out, by a worker that
+    /// cannot take the task now.
+    order_outstanding
+};
+
+/// @brief Order of an earlier run that was not answered and may still be
+/// carried out, by whichever incarnation of the worker.
+///
+/// Until it is settled, its task may run on no other worker.
+struct outstanding_order
+{
+    /// Index of the worker.
+    std::size_t host = 0;
+    /// It takes no effect after this time.
+    base::steady_time until;
+    /// Version of the row that names the assignment.
+    std::int64_t stored_in = 0;
+    /// A former leader may have sent it, and may have had an answer.
+    bool is_inherited = false;
 };
 
 /// @brief A ready step of which no task has started for a while.
@@ -52,6 +71,8 @@
     /// Hosts by index on which a task of the step failed, or that rejected one
     /// of its orders, with the time at which the step may use them again.
     std::map<std::size_t, base::steady_time> failed_on;
+    /// By index of the task.
+    std::map<int, outstanding_order> outstanding;
     /// Latest expiry of the tickets.
     base::steady_time tickets_until;
     /// Advice queries in flight.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -131,9 +131,15 @@
     void set_evacuated(std::set<std::string, std::less<>> failure_domains);
     /// @brief Restores a job that a former leader persisted; `split` and
     /// `blocks` tell in which rows the store holds its progress.
+    ///
+    /// `version` is that of the newest of its rows.
     void restore(jobs::job specification, jobs::job_record record,
                  bool split = false,
-                 std::map<std::string, std::string, std::less<>> blocks = {});
+                 std::map<std::string, std::string, std::less<>> blocks = {},
+                 std::int64_t version = 0);
+    /// @brief Records that the effects of the orders of a former leader are
+    /// known whose assignments were stored before the given version.
+    void settle_inherited_orders(std::int64_t settled);
     /// @brief Restores the queues of the jobs that a former leader persisted;
     /// only then rows of queues are written.
     void restore_queues(const std::map<std::string, jobs::queue>& stored);
@@ -204,7 +210,8 @@
     /// are in such an order that a successor can continue after each of them.
     std::vector<row_change> next_commit(std::size_t max_rows,
                                         std::size_t max_bytes);
-    void commit_done();
+    /// `version` is that of the rows that were written.
+    void commit_done(std::int64_t version = 0);
     /// @brief Records that the store accepts other transactions, but not the
     /// one in flight, of which nothing was carried out.
     ///
@@ -238,6 +245,11 @@
     void restore_lapsing_lease(const lapsing_lease& lease, time_point bound);
     /// @}
 
+    /// @brief Returns the lowest version of the rows whose orders may be
+    /// outstanding. A successor needs it: a task whose order may still be
+    /// carried out cannot start on another worker.
+    std::int64_t settled_version();
+
     /// @brief Returns the learned speeds of the listed workers, to be restored
     /// by a successor.
     std::string encode_speeds() const;
@@ -384,6 +396,7 @@
     /// @brief Keeps the checkpoint of a run that has ended, or was lost.
     void keep_checkpoint(const jobs::task_key& task, int run,
                          const std::string& checkpoint, bool is_final);
+    void set_waiting(const jobs::task_key& task, jobs::task_record& record);
     void requeue(const jobs::task_key& task, int run);
     void run_lost(host_state& host, const run_key& key,
                   std::string_view reason);
@@ -431,12 +444,49 @@
     std::int64_t estimated_clock(const host_state& host) const;
     void update_clock(host_state& host, std::int64_t clock_ms);
 
+    // planner_outstanding.cpp
+    /// @brief Remembers the order of a run that is removed, if it is
+    /// outstanding.
+    void keep_outstanding_order(const host_state& host, const running& it);
+    static void add_outstanding_order(step_run& step, int index,
+                                      const outstanding_order& order);
+    /// @brief Returns whether a host has a run of a task other than the given
+    /// one; no run has the number 0.
+    static bool has_other_run(const host_state& host,
+                              const jobs::task_key& task, int run);
+    /// @brief Returns whether a task has an outstanding order on a host.
+    bool is_outstanding_on(const jobs::task_key& task, const host_state& host);
+    /// @brief Returns whether an order of a former leader had a ticket, so that
+    /// it can take effect in the incarnation that it was meant for only.
+    bool had_ticket(job_run& job, const outstanding_order& order);
+    /// @brief Returns whether an outstanding order has no effect that has not
+    /// ended, and can have none any more; `run` is the task's present run, 0
+    /// while it waits.
+    bool is_settled(job_run& job, const jobs::task_key& task, int run,
+                    const outstanding_order& order);
+    /// @brief Returns whether waiting tasks of a step have outstanding orders;
+    /// forgets the settled ones.
+    bool has_outstanding_orders(const ready_step& step);
+    /// @brief Places the tasks of a step some of which may run on one worker
+    /// only; returns false when others have to wait for capacity.
+    bool place_beside_outstanding(const ready_step& step,
+                                  std::vector<candidate> allowed,
+                                  int affordable);
+    /// @brief Returns after which time neither a run nor an earlier one of its
+    /// task can be in progress on a worker that does not answer.
+    time_point latest_end(const host_state& host, const running& it);
+    std::int64_t settled_version_of(job_run& job, std::size_t position,
+                                    int step);
+
     // planner_leases.cpp
+    /// @brief Returns the longest life of a lease on this host's clock.
+    std::chrono::milliseconds longest_lease() const;
     /// @brief Returns by when a lease that a worker has granted up to now, or
     /// grants to a call that is sent now, has ended.
     time_point longest_lease_from_now() const;
     void handle_expired_leases();
-    /// @brief Gives up all runs of a worker whose lease has ended.
+    /// @brief Gives up the runs of a silent worker that can be in progress no
+    /// more.
     void give_up_runs(host_state& host);
     /// @brief Returns the time since then, for log lines; -1 for never.
     std::int64_t
@@ -638,6 +688,8 @@
     /// Latest time of the next placement round, due even if nothing has
     /// changed.
     time_point latest_placement_;
+    /// Version of the rows that were written last.
+    std::int64_t stored_version_ = 0;
     std::uint64_t next_number_ = 0;
     time_point created_;
     time_point next_sweep_;
--- a/include/mustardwick/entry/cell_leader.hpp
+++ b/include/mustardwick/entry/cell_leader.hpp
@@ -98,11 +98,14 @@
     /// @brief Reads the rows that the leader can do without.
     void load_hints();
     void load_lapsing_leases(const durable::row& row);
+    void load_settled_orders(const durable::row& row);
     /// @brief Adds the learned speeds to a transaction if they are due.
     void add_speeds(durable::transaction& changes);
     /// @brief Adds the lapsing leases to a transaction if they have changed;
     /// returns whether it did.
     bool add_leases(durable::transaction& changes);
+    /// @brief Adds to a transaction which orders are settled, if it is due.
+    void add_settled_orders(durable::transaction& changes);
     void loaded();
     void read_registry();
     void registry_read(std::vector<durable::row> rows, std::int64_t version);
@@ -164,6 +167,7 @@
     base::steady_time next_check_;
     base::steady_time next_speeds_;
     base::steady_time next_leases_;
+    base::steady_time next_settled_orders_;
     /// Delay of the last leadership check, which a busy or slow processor
     /// causes.
     std::chrono::milliseconds lag_{0};
@@ -216,6 +220,8 @@
 inline const std::string speeds_key = "speeds";
 /// Leases of workers that do not answer.
 inline const std::string leases_key = "leases";
+/// Row with the settled orders; see dispatch::settled_orders.
+inline const std::string settled_orders_key = "settled-orders";
 /// @}
 
 } // namespace mustardwick::entry
--- a/include/mustardwick/entry/job_rows.hpp
+++ b/include/mustardwick/entry/job_rows.hpp
@@ -27,6 +27,8 @@
     std::map<std::string, std::string, std::less<>> blocks;
     /// A row of the job cannot be decoded.
     bool unreadable = false;
+    /// Version of the newest of its rows.
+    std::int64_t version = 0;
 
     /// @brief Returns whether only blocks were stored, by a leader that ended
     /// before it stored the job.
@@ -58,6 +60,7 @@
         std::map<std::string, std::string, std::less<>> blocks;
         /// A row could not be decoded, so the newest state is unknown.
         bool unreadable = false;
+        std::int64_t version = 0;
     };
 
     static stored_job assemble(const std::string& id, parts from);
--- a/include/mustardwick/entry/settings.hpp
+++ b/include/mustardwick/entry/settings.hpp
@@ -20,6 +20,9 @@
 {
     /// Maximum duration of a lease that a worker grants.
     milliseconds max_lease{6000};
+    /// Longest time after which a call to a worker that was not answered may
+    /// still be carried out.
+    milliseconds max_delivery_delay{12'000};
     /// Maximum time until a new configuration is in force on all daemons.
     milliseconds config_apply{2000};
     /// Time between the signal to stop this daemon and its forced kill.
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -158,13 +158,15 @@
 
 void planner::restore(jobs::job specification, jobs::job_record record,
                       bool split,
-                      std::map<std::string, std::string, std::less<>> blocks)
+                      std::map<std::string, std::string, std::less<>> blocks,
+                      std::int64_t version)
 {
     const auto id = specification.id;
     auto& job = jobs_[id];
     job.specification = std::move(specification);
     job.record = std::move(record);
     job.number = ++next_number_;
+    stored_version_ = std::max(stored_version_, version);
     const auto age = milliseconds(std::max<std::int64_t>(
         0, wall_ms(clock_) - job.specification.arrived_ms));
     job.arrived = clock_.now() - age;
@@ -183,6 +185,8 @@
     // worker's clock may be 2 % slow.
     const auto bound = created_ + options_.former_leader_authority +
                        options_.max_lease * 100 / 98 + milliseconds(300);
+    const auto orders_until = created_ + options_.former_leader_authority +
+                              options_.max_delivery_delay;
     for (const auto& open : job.record.open)
         for (std::size_t step = 0; step < open.tasks.size(); ++step)
             for (std::size_t index = 0; index < open.tasks[step].size();
@@ -191,7 +195,11 @@
                 const auto& task = open.tasks[step][index];
                 job.has_started = job.has_started || task.failures > 0 ||
                                   task.state == jobs::task_state::done;
-                if (task.state != jobs::task_state::assigned)
+                const bool is_assigned =
+                    task.state == jobs::task_state::assigned;
+                const bool is_tied = task.state == jobs::task_state::waiting &&
+                                     !task.worker.empty();
+                if (!is_assigned && !is_tied)
                     continue;
                 auto& host = host_of(task.worker);
                 host.info.id = task.worker;
@@ -200,8 +208,13 @@
                     std::max(host.incarnation_start_ms,
                              task.worker_incarnation_start_ms);
                 host.lease_bound = bound;
-                add_run(host, job, {id, open.number, int(step), int(index)},
-                        task.run, run_phase::inherited);
+                if (is_assigned)
+                    add_run(host, job, {id, open.number, int(step), int(index)},
+                            task.run, run_phase::inherited);
+                add_outstanding_order(
+                    job.steps[std::size_t(&open - job.record.open.data())]
+                             [step],
+                    int(index), {host.index, orders_until, version, true});
             }
     placement_due_ = true;
 }
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -176,8 +176,9 @@
     return out;
 }
 
-void planner::commit_done()
+void planner::commit_done(std::int64_t version)
 {
+    stored_version_ = std::max(stored_version_, version);
     const auto batch = std::move(*committing_);
     committing_.reset();
     max_jobs_per_commit_ = std::min(max_jobs_per_commit_ * 2, max_commit_jobs);
@@ -330,9 +331,10 @@
         it->second.phase = run_phase::ordered;
         it->second.ordered = clock_.now();
         it->second.order_expiry_ms = order.deadline_ms;
+        host.calls_until = clock_.now() + options_.max_delivery_delay;
+        it->second.stored_in = stored_version_;
         if (order.ticket.empty())
-            it->second.outstanding_until =
-                clock_.now() + options_.max_delivery_delay;
+            it->second.outstanding_until = host.calls_until;
         host.lease_bound =
             std::max(host.lease_bound, clock_.now() +
                                            options_.start_validity * 100 / 98 +
--- a/src/mustardwick/dispatch/planner_fixture_test.hpp
+++ b/src/mustardwick/dispatch/planner_fixture_test.hpp
@@ -1,12 +1,16 @@
 #pragma once
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "mustardwick/base/log.hpp"
 #include "mustardwick/dispatch/planner.hpp"
+#include "mustardwick/dispatch/progress_blocks.hpp"
+#include "mustardwick/wire/codec.hpp"
 
 namespace mustardwick::dispatch::test
 {
@@ -138,8 +142,28 @@
     /// Commits all pending changes.
     void commit()
     {
-        while (!plan.next_commit(96, 600'000).empty())
-            plan.commit_done();
+        for (auto rows = plan.next_commit(96, 600'000); !rows.empty();
+             rows = plan.next_commit(96, 600'000))
+        {
+            ++version;
+            for (auto& it : rows)
+                if (it.value)
+                    stored[{it.kind, it.key}] = std::move(*it.value);
+            plan.commit_done(version);
+        }
+    }
+
+    /// Returns the progress of a job as a successor reads it.
+    jobs::job_record stored_record(const std::string& id) const
+    {
+        const auto latest = stored.find({row_kind::progress, id});
+        const auto first = stored.find({row_kind::job, id});
+        const auto head =
+            latest != stored.end()
+                ? decode_progress_head(latest->second)
+                : decode_progress_head(
+                      wire::decode<job_row>(first->second).value().progress);
+        return head.value().record;
     }
 
     /// Runs one placement round, commits all changes and returns the orders
@@ -182,6 +206,9 @@
     base::manual_clock clock;
     base::metrics metrics;
     planner plan;
+    /// Rows of the store, and the version of its last transaction.
+    std::map<std::pair<row_kind, std::string>, std::string> stored;
+    std::int64_t version = 0;
 };
 
 } // namespace mustardwick::dispatch::test
--- a/src/mustardwick/dispatch/planner_held_back.cpp
+++ b/src/mustardwick/dispatch/planner_held_back.cpp
@@ -24,10 +24,10 @@
 
 std::string_view name_of(hold_reason reason)
 {
-    constexpr std::array<std::string_view, 7> names = {
-        "account_at_maximum", "deferred",        "behind_planned_steps",
-        "waiting_for_advice", "no_free_channel", "kept_for_whole_start",
-        "without_capacity"};
+    constexpr std::array<std::string_view, 8> names = {
+        "account_at_maximum", "deferred",         "behind_planned_steps",
+        "waiting_for_advice", "no_free_channel",  "kept_for_whole_start",
+        "without_capacity",   "order_outstanding"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/mustardwick/dispatch/planner_leases.cpp
+++ b/src/mustardwick/dispatch/planner_leases.cpp
@@ -36,14 +36,20 @@
     if (!host.reachable || host.lease_is_stored)
         return std::nullopt;
     host.renewed = clock_.now();
+    host.calls_until = *host.renewed + options_.max_delivery_delay;
     host.lease_bound = std::max(host.lease_bound, longest_lease_from_now());
     return estimated_clock(host) + options_.max_lease.count();
 }
 
-planner::time_point planner::longest_lease_from_now() const
+milliseconds planner::longest_lease() const
 {
     // A worker's clock may be 2 % slow.
-    return clock_.now() + options_.max_lease * 100 / 98 + milliseconds(100);
+    return options_.max_lease * 100 / 98 + milliseconds(100);
+}
+
+planner::time_point planner::longest_lease_from_now() const
+{
+    return clock_.now() + longest_lease();
 }
 
 void planner::handle_expired_leases()
@@ -68,16 +74,23 @@
 
 void planner::give_up_runs(host_state& host)
 {
+    std::vector<run_key> keys;
+    for (const auto& [key, it] : host.runs)
+        if (clock_.now() > latest_end(host, it))
+            keys.push_back(key);
+    if (keys.empty())
+        return;
     log_event(log_level::warning, "planner", "lease_lapsed",
               {{"worker", host.info.id},
-               {"runs", host.runs.size()},
+               {"runs", keys.size()},
+               {"kept_runs", host.runs.size() - keys.size()},
                {"incarnation_start_ms", host.incarnation_start_ms},
                {"renewed_ms_ago", milliseconds_since(host.renewed)},
                {"reported_ms_ago", milliseconds_since(host.reported)},
                {"clock_ms", estimated_clock(host)}});
-    std::vector<run_key> keys;
-    for (const auto& [key, it] : host.runs)
+    for (const auto& key : keys)
     {
+        const auto& it = host.runs.at(key);
         log_event(log_level::info, "planner", "run_given_up",
                   {{"task", to_string(key.first)},
                    {"run", key.second},
@@ -86,7 +99,6 @@
                    {"accepted_clock_ms", it.started_clock_ms},
                    {"deadline_ms", it.order_expiry_ms},
                    {"listed", int(it.listed_in != 0)}});
-        keys.push_back(key);
         host.given_up.emplace(key, clock_.now());
     }
     for (const auto& key : keys)
--- a/src/mustardwick/dispatch/planner_leases_test.cpp
+++ b/src/mustardwick/dispatch/planner_leases_test.cpp
@@ -87,10 +87,12 @@
         plan.lapsing_leases_stored();
     }
 
+    /// The order of the job has been answered.
     void take_over(const std::vector<lapsing_lease>& leases)
     {
         plan.restore(make_job("j", "plain", {make_step(1, 1)}),
                      running_record("w0"));
+        plan.settle_inherited_orders(1);
         storing();
         for (const auto& it : leases)
             plan.restore_lapsing_lease(it, *store.from_store(it.end_ms));
@@ -175,6 +177,7 @@
             cr_assert_not(current->starts_within(term), "%s", it.name);
             current->commit(it.hands_over);
             stored = current->stored;
+            const auto settled = current->plan.settled_version();
             passed += term;
             successors.push_back(std::make_unique<leader>(passed));
             current = successors.back().get();
@@ -183,6 +186,7 @@
             auto record = running_record(lost);
             current->plan.restore(make_job("j", "plain", {make_step(1, 1)}),
                                   record);
+            current->plan.settle_inherited_orders(settled);
             current->storing();
             for (const auto& lease : stored)
                 current->plan.restore_lapsing_lease(
@@ -246,6 +250,7 @@
         {
             second.plan.restore(make_job("j", "plain", {make_step(1, 1)}),
                                 running_record("w0"));
+            second.plan.settle_inherited_orders(first.plan.settled_version());
             second.report("w0", {run});
             cr_assert(second.plan.lease_deadline("w0").has_value());
             second.storing();
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -204,6 +204,8 @@
         query_advice(step, std::move(unknown), missing);
     else
         step.state().channel_wanted_since.reset();
+    if (has_outstanding_orders(step))
+        return place_beside_outstanding(step, allowed, affordable);
     if (free_slots < affordable)
         ++round_.without_capacity;
     const bool is_whole =
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -142,7 +142,14 @@
                              record->state == jobs::task_state::assigned &&
                              record->worker == host.info.id;
         if (!current)
+        {
             stop_run(host, it->second);
+            // The task starts nowhere else until this run has ended.
+            if (record != nullptr && record->state == jobs::task_state::waiting)
+                add_outstanding_order(*find_step(listed.task),
+                                      listed.task.index,
+                                      {host.index, {}, stored_version_, false});
+        }
     }
     auto& run = it->second;
     run.confirmed = true;
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -109,6 +109,7 @@
     const auto it = host.runs.find(key);
     if (it == host.runs.end())
         return;
+    keep_outstanding_order(host, it->second);
     host.used -= it->second.size;
     auto requested = it->second.size;
     auto* job = find_job(key.first.job);
@@ -154,7 +155,7 @@
                 remove_run(host, key);
                 auto* record = find_task(key.first);
                 if (record != nullptr && record->run == key.second)
-                    record->state = jobs::task_state::waiting;
+                    set_waiting(key.first, *record);
             }
             else if (it->second.phase != run_phase::stopping)
                 stop_run(host, it->second);
@@ -187,14 +188,21 @@
         checkpoint;
 }
 
+void planner::set_waiting(const jobs::task_key& task, jobs::task_record& record)
+{
+    record.state = jobs::task_state::waiting;
+    // A successor needs the worker of an outstanding order.
+    if (!find_step(task)->outstanding.contains(task.index))
+        record.worker.clear();
+}
+
 void planner::requeue(const jobs::task_key& task, int run)
 {
     auto* record = find_task(task);
     if (record == nullptr || record->run != run ||
         record->state != jobs::task_state::assigned)
         return;
-    record->state = jobs::task_state::waiting;
-    record->worker.clear();
+    set_waiting(task, *record);
     auto& job = *find_job(task.job);
     mark_dirty(job);
     placement_due_ = true;
@@ -352,8 +360,12 @@
     host.uncommitted_ends.insert(end.number);
     job->ends.push_back({host.info.id, host.incarnation_start_ms, end.number});
     mark_dirty(*job);
-    if (record == nullptr || record->run != end.run ||
-        record->state == jobs::task_state::done)
+    if (record == nullptr || record->state == jobs::task_state::done)
+        return;
+    if (record->run != end.run && is_outstanding_on(end.task, host) &&
+        end.outcome == jobs::run_outcome::done)
+        return task_done(*job, end.task);
+    if (record->run != end.run)
         return;
     // A former leader may have committed the end and terminated before it
     // acknowledged it; only a success is applied again.
--- a/src/mustardwick/entry/cell_leader.cpp
+++ b/src/mustardwick/entry/cell_leader.cpp
@@ -63,6 +63,7 @@
 {
     dispatch::planner_options out;
     out.max_lease = options.limits.max_lease;
+    out.max_delivery_delay = options.limits.max_delivery_delay;
     out.retention = options.limits.retention + max_clock_error;
     out.stop_grace = options.limits.stop_grace;
     out.keeps_apart = options.keeps_apart;
@@ -238,6 +239,7 @@
         env_.clock.now() - log_->confirmed() >= renewal_interval;
     if (changes.changes_nothing() && !renewal_due)
         return;
+    add_settled_orders(changes);
     const bool releases = releasing_;
     if (releases)
         log_->set_released();
@@ -261,7 +263,7 @@
     if (planner_.commit_in_flight() && result == log_result::rejected)
         planner_.commit_rejected();
     else if (planner_.commit_in_flight())
-        planner_.commit_done();
+        planner_.commit_done(log_->head_version());
     run_confirmed();
     // The transaction that was in flight when the release began does not
     // release leadership.
--- a/src/mustardwick/entry/cell_leader_load.cpp
+++ b/src/mustardwick/entry/cell_leader_load.cpp
@@ -4,6 +4,7 @@
 
 #include "mustardwick/base/error.hpp"
 #include "mustardwick/base/log.hpp"
+#include "mustardwick/dispatch/settled_orders.hpp"
 #include "mustardwick/entry/table_scan.hpp"
 #include "mustardwick/jobs/fencing.hpp"
 #include "mustardwick/wire/codec.hpp"
@@ -30,6 +31,9 @@
 /// Minimum interval between two writes of the lapsing leases; a row of 400
 /// workers has up to 40 KB.
 constexpr milliseconds leases_interval{250};
+/// Minimum interval between two writes of the settled orders, which a successor
+/// needs for the tasks of workers that were lost within it.
+constexpr milliseconds settled_orders_interval{250};
 
 } // namespace
 
@@ -69,6 +73,8 @@
                     self->planner_.restore_speeds(it.value);
                 if (it.address.key == leases_key)
                     self->load_lapsing_leases(it);
+                if (it.address.key == settled_orders_key)
+                    self->load_settled_orders(it);
             }
         });
 }
@@ -86,6 +92,27 @@
             planner_.restore_lapsing_lease(it, *bound);
 }
 
+void cell_leader::load_settled_orders(const durable::row& row)
+{
+    const auto stored = wire::decode<dispatch::settled_orders>(row.value);
+    if (!stored)
+        return log_event(log_level::warning, "leader", "orders_row_unreadable",
+                         {{"reason", base::last_error().text()}});
+    if (jobs::next_epoch(stored->epoch) == head_.epoch)
+        planner_.settle_inherited_orders(stored->version);
+}
+
+void cell_leader::add_settled_orders(durable::transaction& changes)
+{
+    const auto now = env_.clock.now();
+    if (!loaded_ || (now < next_settled_orders_ && !releasing_))
+        return;
+    next_settled_orders_ = now + settled_orders_interval;
+    changes.writes.push_back({{cell_table, plan_partition, settled_orders_key},
+                              wire::encode(dispatch::settled_orders{
+                                  head_.epoch, planner_.settled_version()})});
+}
+
 void cell_leader::add_speeds(durable::transaction& changes)
 {
     const auto now = env_.clock.now();
@@ -182,7 +209,7 @@
         }
         active += is_final(it.record->state) ? 0 : 1;
         planner_.restore(std::move(*it.specification), std::move(*it.record),
-                         it.split, std::move(it.blocks));
+                         it.split, std::move(it.blocks), it.version);
     }
     planner_.discard(std::move(orphans));
     planner_.restore_queues(stored_queues_);
--- a/src/mustardwick/entry/job_rows.cpp
+++ b/src/mustardwick/entry/job_rows.cpp
@@ -1,5 +1,6 @@
 #include "mustardwick/entry/job_rows.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "mustardwick/entry/cell_leader.hpp"
@@ -36,6 +37,7 @@
     const std::string_view key = row.address.key;
     const auto separator = key.find(dispatch::block_separator);
     auto& it = jobs_[std::string(key.substr(0, separator))];
+    it.version = std::max(it.version, row.version);
     if (row.address.table != job_table)
     {
         if (separator != std::string_view::npos)
@@ -79,6 +81,7 @@
                             head->record, *out.specification, from.blocks)));
     if (complete)
         out.record = std::move(head->record);
+    out.version = from.version;
     out.unreadable = from.unreadable || (head && !complete);
     out.blocks = std::move(from.blocks);
     if (!out.split)
--- a/src/mustardwick/entry/settings.cpp
+++ b/src/mustardwick/entry/settings.cpp
@@ -53,6 +53,7 @@
         field = read_duration(reader, name, field, unit);
     };
     read("max_lease_ms", out.max_lease);
+    read("max_delivery_delay_ms", out.max_delivery_delay);
     read("config_apply_ms", out.config_apply);
     read("grace_ms", out.grace);
     read("grace_s", out.grace, std::chrono::seconds(1));
