--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -484,6 +484,10 @@
     /// @brief Returns by when a lease that a worker has granted up to now, or
     /// grants to a call that is sent now, has ended.
     time_point longest_lease_from_now() const;
+    /// @brief Counts the lease of an answered order, which may last as long as
+    /// its deadline is ahead on the clock of the reply: it need not be the
+    /// clock that the deadline was meant for.
+    void count_granted_lease(host_state& host, std::int64_t granted_ms);
     void handle_expired_leases();
     /// @brief Gives up the runs of a silent worker that can be in progress no
     /// more.
--- a/src/mustardwick/dispatch/planner_leases.cpp
+++ b/src/mustardwick/dispatch/planner_leases.cpp
@@ -47,6 +47,15 @@
     return options_.max_lease * 100 / 98 + milliseconds(100);
 }
 
+void planner::count_granted_lease(host_state& host, std::int64_t granted_ms)
+{
+    const milliseconds granted(
+        std::clamp<std::int64_t>(granted_ms, 0, options_.max_lease.count()));
+    host.lease_bound =
+        std::max(host.lease_bound,
+                 clock_.now() + granted * 100 / 98 + milliseconds(100));
+}
+
 planner::time_point planner::longest_lease_from_now() const
 {
     return clock_.now() + longest_lease();
--- a/src/mustardwick/dispatch/planner_leases_test.cpp
+++ b/src/mustardwick/dispatch/planner_leases_test.cpp
@@ -312,3 +312,51 @@
     cr_assert_eq(stored[0].incarnation_start_ms, incarnation_start + 1);
     cr_assert_gt(stored[0].end_ms, former.end_ms + 1000);
 }
+
+struct reply_case
+{
+    const char* name;
+    jobs::order_result result;
+    /// How far the order's deadline is ahead on the clock that answers.
+    milliseconds ahead;
+    milliseconds earliest;
+};
+
+// Guards against giving up a run too early (TWICE): its order was answered by
+// another incarnation than it was meant for, on whose clock the lease is longer
+// (issue 51).
+Test(planner_leases, count_by_the_clock_that_has_granted_them)
+{
+    using std::chrono::seconds;
+    const std::array cases = {
+        reply_case{"as meant", jobs::order_result::accepted, milliseconds(1500),
+                   milliseconds(1500)},
+        reply_case{"behind", jobs::order_result::accepted, seconds(4),
+                   seconds(4)},
+        reply_case{"far behind", jobs::order_result::accepted, seconds(1000),
+                   seconds(6)},
+        reply_case{"ahead", jobs::order_result::accepted, seconds(-4),
+                   seconds(1)},
+    };
+    for (const auto& it : cases)
+    {
+        planner_fixture cell(1);
+        // The lease that the first report counts has ended.
+        cell.clock.advance(seconds(7));
+        cell.report("w0");
+        cell.submit(make_job("j", "plain", {make_step(1, 1)}));
+        const auto order = cell.round().starts.at(0);
+        cell.plan.start_answered(
+            order, {it.result, order.deadline_ms - it.ahead.count()});
+        cell.add_host("w1");
+        cell.plan.worker_unresponsive(order.worker);
+        const auto began = cell.clock.now();
+        while (cell.round().starts.empty())
+            cr_assert_lt((cell.clock.now() - began).count(),
+                         base::steady_time::duration(seconds(8)).count(), "%s",
+                         it.name);
+        cr_assert_geq((cell.clock.now() - began).count(),
+                      base::steady_time::duration(it.earliest).count(), "%s",
+                      it.name);
+    }
+}
--- a/src/mustardwick/dispatch/planner_orders.cpp
+++ b/src/mustardwick/dispatch/planner_orders.cpp
@@ -56,7 +56,10 @@
     log_unexpected_clock(host, order, reply);
     // Another worker at the address answers with its own clock.
     if (reply.clock_ms != 0 && reply.result != order_result::other_incarnation)
+    {
+        count_granted_lease(host, order.deadline_ms - reply.clock_ms);
         update_clock(host, reply.clock_ms);
+    }
     if (it == host.runs.end())
         return;
     if (result == order_result::accepted)
