Give each run of a soak test a range of ports of its own

Cause: a seed stood for a range of ports, so that two runs of the same seed, or of tests with equal seeds, take the same ports, as do daemons that an ended test has left.

Change: a run locks the first range from its seed's on that no other run holds and whose ports are all free.

--- a/testing/soak/daemons.py
+++ b/testing/soak/daemons.py
@@ -1,9 +1,13 @@
 """The daemons of the soak and their ports."""
 
 import asyncio
+import fcntl
 import json
 import os
+import pathlib
 import signal
+import socket
+import tempfile
 
 from faults import ActiveFaults
 
@@ -11,20 +15,54 @@
 ZONES = ["north", "south", "east"]
 
 
+def is_free(port):
+    with socket.socket() as it:
+        it.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            it.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
 class Ports:
-    """Allocates ports below the ephemeral range. Adjacent seeds, which run
-    concurrently, get disjoint port ranges."""
+    """Allocates ports below the ephemeral range. Each instance has a range that
+    no other running test uses: the first free one from that of its seed on."""
 
     FIRST = 10_000
-    PORTS_PER_SEED = 200
+    PORTS_PER_RANGE = 200
     RANGES = 100
 
     def __init__(self, seed):
-        self.next = self.FIRST + seed % self.RANGES * self.PORTS_PER_SEED
+        for it in range(self.RANGES):
+            first = (self.FIRST +
+                     (seed + it) % self.RANGES * self.PORTS_PER_RANGE)
+            if self.claim(first):
+                self.next = first
+                self.end = first + self.PORTS_PER_RANGE
+                return
+        raise RuntimeError("no range of ports is free; end other tests first")
+
+    def claim(self, first):
+        """Locks a range until this process ends. Ports of daemons that an
+        earlier test has left running are not free."""
+        path = pathlib.Path(tempfile.gettempdir())
+        self.lock = (path / f"mustardwick-ports-{first}.lock").open("a")
+        try:
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            self.lock.close()
+            return False
+        if all(is_free(first + it) for it in range(self.PORTS_PER_RANGE)):
+            return True
+        self.lock.close()
+        return False
 
     def take(self, count):
         first = self.next
         self.next += count
+        if self.next > self.end:
+            raise RuntimeError(f"more than {self.PORTS_PER_RANGE} ports")
         return list(range(first, first + count))
 
 
--- a/testing/soak/hosted_soak.py
+++ b/testing/soak/hosted_soak.py
@@ -58,7 +58,7 @@
         self.store = Store()
         self.promises = Promises()
         self.promises.accounts = {"a": 0, "b": MAX_ACCOUNT_CPU}
-        ports = Ports(options.seed)
+        self.ports = ports = Ports(options.seed)
         self.daemons = [Daemon(options.program, it, folder, ports.take(6))
                         for it in range(options.daemons)]
         self.workers = [
