--- a/src/mustardwick/dispatch/outstanding_orders_test.cpp
+++ b/src/mustardwick/dispatch/outstanding_orders_test.cpp
@@ -227,21 +227,37 @@
 struct renewal_case
 {
     const char* name;
+    /// The order has expired before, so that no run is left on the worker.
+    bool expires;
     milliseconds renewed_after;
+    bool is_unlisted;
 };
 
 // Guards against a run that a late renewal of the former incarnation keeps
 // alive in the next one (TWICE).
 Test(outstanding_orders, count_later_renewals_that_may_lengthen_the_lease)
 {
-    for (const auto& it : {renewal_case{"at once", milliseconds(0)},
-                           renewal_case{"later", milliseconds(1400)}})
+    const std::array cases = {
+        renewal_case{"at once", false, milliseconds(0), false},
+        renewal_case{"later", false, milliseconds(1400), false},
+        renewal_case{"later, unlisted", false, milliseconds(1400), true},
+        renewal_case{"expired", true, milliseconds(2000), false},
+        renewal_case{"expired, unlisted", true, milliseconds(2000), true},
+    };
+    for (const auto& it : cases)
     {
         cell it_cell;
-        it_cell.answer(jobs::order_result::unknown);
-        it_cell.clock.advance(it.renewed_after);
+        if (it.expires)
+            it_cell.expire();
+        else
+        {
+            it_cell.answer(jobs::order_result::unknown);
+            it_cell.clock.advance(it.renewed_after);
+        }
         cr_assert(it_cell.plan.lease_deadline("w0").has_value());
         it_cell.plan.worker_unresponsive("w0");
+        if (it.is_unlisted)
+            it_cell.plan.worker_unlisted("w0");
         const auto after = it_cell.elsewhere_after(seconds(30));
         cr_assert(after.has_value(), "%s", it.name);
         cr_assert_geq(after->count(),
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -366,9 +366,10 @@
                   [&](const auto& entry)
                   {
                       const auto& host = entry.second;
-                      const bool removed = !host.listed && host.runs.empty() &&
-                                           host.lease_bound < now &&
-                                           !host.lease_is_stored;
+                      const bool removed =
+                          !host.listed && host.runs.empty() &&
+                          host.lease_bound < now && !host.lease_is_stored &&
+                          host.calls_until + longest_lease() < now;
                       if (removed)
                       {
                           host_at_[host.index] = nullptr;
