--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -468,7 +468,7 @@
     /// forgets the settled ones.
     bool has_outstanding_orders(const ready_step& step);
     /// @brief Places the tasks of a step some of which may run on one worker
-    /// only; returns false when others have to wait for capacity.
+    /// only; returns false when others of them have to wait for capacity.
     bool place_beside_outstanding(const ready_step& step,
                                   std::vector<candidate> allowed,
                                   int affordable);
--- a/src/mustardwick/dispatch/planner_outstanding.cpp
+++ b/src/mustardwick/dispatch/planner_outstanding.cpp
@@ -139,18 +139,28 @@
                                          step.occurrence(), step.step, task},
                                         0);
               });
+    const auto tied = chosen.size();
+    int movable = 0;
     for (int index = 0; index < int(tasks.size()); ++index)
-        if (!outstanding.contains(index))
-            place(index,
-                  [](const host_state&)
-                  {
-                      return true;
-                  });
+    {
+        if (outstanding.contains(index) ||
+            tasks[std::size_t(index)].state != jobs::task_state::waiting)
+            continue;
+        ++movable;
+        place(index,
+              [](const host_state&)
+              {
+                  return true;
+              });
+    }
+    const bool lacks_capacity =
+        int(chosen.size() - tied) < movable && int(chosen.size()) < affordable;
     if (chosen.empty() ||
         (step.spec().is_gang && chosen.size() < std::size_t(step.waiting)))
     {
-        hold_back(step, hold_reason::order_outstanding);
-        return true;
+        hold_back(step, lacks_capacity ? hold_reason::without_capacity
+                                       : hold_reason::order_outstanding);
+        return !lacks_capacity;
     }
     int run = 0;
     for (const auto& it : tasks)
@@ -163,7 +173,7 @@
     step.state().blocked_since.reset();
     step.state().held.reset();
     mark_dirty(*step.job);
-    return chosen.size() == std::size_t(affordable);
+    return !lacks_capacity;
 }
 
 planner::time_point planner::latest_end(const host_state& host,
