--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -77,7 +77,7 @@
     /// is known, and for an order with a ticket, which holds for one
     /// incarnation.
     std::optional<base::steady_time> outstanding_until;
-    /// Version of the row that names the assignment.
+    /// Lower bound of the version of the row that names the assignment.
     std::int64_t stored_in = 0;
     /// Worker clock reading when the start was accepted.
     std::int64_t started_clock_ms = 0;
@@ -118,6 +118,8 @@
     std::optional<base::steady_time> renewed;
     /// When the last report arrived.
     std::optional<base::steady_time> reported;
+    /// When a report that listed all ends arrived last.
+    std::optional<base::steady_time> listed_all;
     /// Runs that were given up because the lease had ended, until the worker
     /// reports again.
     std::map<run_key, base::steady_time> given_up;
--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -34,25 +34,28 @@
     kept_for_whole_start,
     /// The hosts that it may use have too little free capacity.
     without_capacity,
-    /// An earlier order of each task may still be carried out, by a worker that
-    /// cannot take the task now.
+    /// The order of an earlier run of each task may still be carried out.
     order_outstanding
 };
 
-/// @brief Order of an earlier run that was not answered and may still be
-/// carried out, by whichever incarnation of the worker.
+/// @brief Order to start a run that was not answered and may still be carried
+/// out, by whichever incarnation of the worker.
 ///
-/// Until it is settled, its task may run on no other worker.
+/// Until it is settled, the task does not start again: the run may begin beside
+/// a later one, or after that one has succeeded. A task that lasts does not end
+/// by itself, so that it may start on the same worker, with the same run
+/// number.
 struct outstanding_order
 {
-    /// Index of the worker.
-    std::size_t host = 0;
+    std::string worker;
     /// It takes no effect after this time.
     base::steady_time until;
-    /// Version of the row that names the assignment.
+    /// Lower bound of the version of the row that names the assignment.
     std::int64_t stored_in = 0;
     /// A former leader may have sent it, and may have had an answer.
     bool is_inherited = false;
+    /// The worker has refused the run number since.
+    bool was_refused = false;
 };
 
 /// @brief A ready step of which no task has started for a while.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -316,6 +316,9 @@
     /// @brief Returns the state of a host, which is added when it is new.
     host_state& host_of(const std::string& id);
     job_run* find_job(const std::string& id);
+    /// @brief Restores the run of a task and its outstanding order.
+    void restore_task(job_run& job, std::size_t position, int step, int index,
+                      std::int64_t version);
     void mark_dirty(job_run& job);
     void open_occurrence(job_run& job, std::int64_t number);
     /// @brief Returns whether the number of open tasks allows another
@@ -431,6 +434,9 @@
     /// what this leader knew.
     void report_outlived_leases(host_state& host,
                                 const jobs::worker_report& report);
+    /// @brief Returns whether a listed run is the present one of a task that
+    /// waits because its order was outstanding.
+    bool may_adopt(const host_state& host, const jobs::running_run& listed);
     void reconcile_listed_run(host_state& host,
                               const jobs::running_run& listed);
     /// @brief Logs a reply whose clock is not the one that the order's
@@ -450,33 +456,35 @@
     void keep_outstanding_order(const host_state& host, const running& it);
     static void add_outstanding_order(step_run& step, int index,
                                       const outstanding_order& order);
+    /// @brief Returns the outstanding order of a task on a host, or nullptr.
+    outstanding_order* outstanding_order_on(const host_state& host,
+                                            const jobs::task_key& task);
+    /// @brief Records that a worker lists a run or its end: its order is not
+    /// outstanding any more.
+    void order_took_effect(const host_state& host, const jobs::task_key& task,
+                           int run);
     /// @brief Returns whether a host has a run of a task other than the given
-    /// one; no run has the number 0.
-    static bool has_other_run(const host_state& host,
-                              const jobs::task_key& task, int run);
-    /// @brief Returns whether a task has an outstanding order on a host.
-    bool is_outstanding_on(const jobs::task_key& task, const host_state& host);
+    /// one.
+    static bool has_run(const host_state& host, const jobs::task_key& task,
+                        int except);
     /// @brief Returns whether an order of a former leader had a ticket, so that
     /// it can take effect in the incarnation that it was meant for only.
     bool had_ticket(job_run& job, const outstanding_order& order);
     /// @brief Returns whether an outstanding order has no effect that has not
-    /// ended, and can have none any more; `run` is the task's present run, 0
-    /// while it waits.
-    bool is_settled(job_run& job, const jobs::task_key& task, int run,
-                    const outstanding_order& order);
-    /// @brief Returns whether waiting tasks of a step have outstanding orders;
-    /// forgets the settled ones.
+    /// ended, and can have none any more; `run` is the task's present run.
+    bool is_settled(const jobs::task_key& task, int run,
+                    const outstanding_order& order) const;
+    void drop_settled_orders(job_run& job, std::size_t position, int step);
+    /// @brief Returns whether waiting tasks of a step have outstanding orders.
     bool has_outstanding_orders(const ready_step& step);
-    /// @brief Places the tasks of a step some of which may run on one worker
-    /// only; returns false when others of them have to wait for capacity.
+    /// @brief Places the tasks of a step some of which have outstanding orders;
+    /// returns false when others have to wait for capacity.
     bool place_beside_outstanding(const ready_step& step,
                                   std::vector<candidate> allowed,
                                   int affordable);
     /// @brief Returns after which time neither a run nor an earlier one of its
     /// task can be in progress on a worker that does not answer.
     time_point latest_end(const host_state& host, const running& it);
-    std::int64_t settled_version_of(job_run& job, std::size_t position,
-                                    int step);
 
     // planner_leases.cpp
     /// @brief Returns the longest life of a lease on this host's clock.
@@ -633,6 +641,8 @@
                       int missing);
 
     static constexpr std::size_t max_commit_jobs = 1024;
+    /// Runs are numbered from 1.
+    static constexpr int no_run = 0;
 
     const base::clock& clock_;
     planner_options options_;
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -181,42 +181,43 @@
     if (is_final(job.record.state))
         return;
     active_[job.number] = &job;
+    for (std::size_t at = 0; at < job.record.open.size(); ++at)
+        for (std::size_t step = 0; step < job.steps[at].size(); ++step)
+        {
+            const auto& tasks = job.record.open[at].tasks[step];
+            for (std::size_t index = 0; index < tasks.size(); ++index)
+                restore_task(job, at, int(step), int(index), version);
+        }
+    placement_due_ = true;
+}
+
+void planner::restore_task(job_run& job, std::size_t position, int step,
+                           int index, std::int64_t version)
+{
+    const auto& open = job.record.open[position];
+    const auto& task = open.tasks[std::size_t(step)][std::size_t(index)];
+    const bool is_assigned = task.state == jobs::task_state::assigned;
+    job.has_started = job.has_started || task.failures > 0 ||
+                      task.state == jobs::task_state::done;
+    // A waiting task names the worker of an outstanding order.
+    if (task.worker.empty() || task.state == jobs::task_state::done)
+        return;
+    auto& host = host_of(task.worker);
+    host.info.id = task.worker;
+    // Rows may still name a former incarnation of the worker.
+    host.incarnation_start_ms =
+        std::max(host.incarnation_start_ms, task.worker_incarnation_start_ms);
     // A lease that the former leader renewed may last this long, since a
     // worker's clock may be 2 % slow.
-    const auto bound = created_ + options_.former_leader_authority +
-                       options_.max_lease * 100 / 98 + milliseconds(300);
-    const auto orders_until = created_ + options_.former_leader_authority +
-                              options_.max_delivery_delay;
-    for (const auto& open : job.record.open)
-        for (std::size_t step = 0; step < open.tasks.size(); ++step)
-            for (std::size_t index = 0; index < open.tasks[step].size();
-                 ++index)
-            {
-                const auto& task = open.tasks[step][index];
-                job.has_started = job.has_started || task.failures > 0 ||
-                                  task.state == jobs::task_state::done;
-                const bool is_assigned =
-                    task.state == jobs::task_state::assigned;
-                const bool is_tied = task.state == jobs::task_state::waiting &&
-                                     !task.worker.empty();
-                if (!is_assigned && !is_tied)
-                    continue;
-                auto& host = host_of(task.worker);
-                host.info.id = task.worker;
-                // Rows may still name a former incarnation of the worker.
-                host.incarnation_start_ms =
-                    std::max(host.incarnation_start_ms,
-                             task.worker_incarnation_start_ms);
-                host.lease_bound = bound;
-                if (is_assigned)
-                    add_run(host, job, {id, open.number, int(step), int(index)},
-                            task.run, run_phase::inherited);
-                add_outstanding_order(
-                    job.steps[std::size_t(&open - job.record.open.data())]
-                             [step],
-                    int(index), {host.index, orders_until, version, true});
-            }
-    placement_due_ = true;
+    const auto authority_end = created_ + options_.former_leader_authority;
+    host.lease_bound =
+        authority_end + options_.max_lease * 100 / 98 + milliseconds(300);
+    if (is_assigned)
+        add_run(host, job, {job.specification.id, open.number, step, index},
+                task.run, run_phase::inherited);
+    const auto until = authority_end + options_.max_delivery_delay;
+    add_outstanding_order(job.steps[position][std::size_t(step)], index,
+                          {task.worker, until, version, true});
 }
 
 std::size_t planner::reject_unsent_jobs()
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "mustardwick/base/log.hpp"
+#include "mustardwick/dispatch/call_times.hpp"
 #include "mustardwick/dispatch/planner.hpp"
 #include "mustardwick/wire/codec.hpp"
 
@@ -331,10 +332,11 @@
         it->second.phase = run_phase::ordered;
         it->second.ordered = clock_.now();
         it->second.order_expiry_ms = order.deadline_ms;
-        host.calls_until = clock_.now() + options_.max_delivery_delay;
+        const auto delivered = clock_.now() + options_.max_delivery_delay;
+        host.calls_until = std::max(host.calls_until, delivered);
         it->second.stored_in = stored_version_;
         if (order.ticket.empty())
-            it->second.outstanding_until = host.calls_until;
+            it->second.outstanding_until = delivered;
         host.lease_bound =
             std::max(host.lease_bound, clock_.now() +
                                            options_.start_validity * 100 / 98 +
--- a/src/mustardwick/dispatch/planner_leases.cpp
+++ b/src/mustardwick/dispatch/planner_leases.cpp
@@ -2,6 +2,7 @@
 #include <vector>
 
 #include "mustardwick/base/log.hpp"
+#include "mustardwick/dispatch/call_times.hpp"
 #include "mustardwick/dispatch/planner.hpp"
 
 namespace mustardwick::dispatch
--- a/src/mustardwick/dispatch/planner_orders.cpp
+++ b/src/mustardwick/dispatch/planner_orders.cpp
@@ -96,6 +96,8 @@
         host.avoid_until =
             std::max(host.avoid_until, clock_.now() + refusal_backoff);
     run_lost(host, key, "the order was not accepted");
+    if (auto* earlier = outstanding_order_on(host, order.task))
+        earlier->was_refused |= result == order_result::stale_run;
 }
 
 void planner::log_unexpected_clock(const host_state& host,
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -118,6 +118,17 @@
     host.given_up.clear();
 }
 
+bool planner::may_adopt(const host_state& host, const jobs::running_run& listed)
+{
+    const auto* record = find_task(listed.task);
+    return record != nullptr && record->run == listed.run &&
+           record->state == jobs::task_state::waiting &&
+           outstanding_order_on(host, listed.task) != nullptr &&
+           !find_job(listed.task.job)
+                ->specification.steps[std::size_t(listed.task.step)]
+                .is_gang;
+}
+
 void planner::reconcile_listed_run(host_state& host,
                                    const jobs::running_run& listed)
 {
@@ -137,20 +148,28 @@
         }
         add_run(host, *job, listed.task, listed.run, run_phase::started);
         it = host.runs.find(key);
-        const auto* record = find_task(listed.task);
+        auto* record = find_task(listed.task);
+        if (may_adopt(host, listed))
+        {
+            record->state = jobs::task_state::assigned;
+            record->worker = host.info.id;
+            record->worker_incarnation_start_ms = host.incarnation_start_ms;
+            mark_dirty(*job);
+        }
         const bool current = record != nullptr && record->run == listed.run &&
                              record->state == jobs::task_state::assigned &&
                              record->worker == host.info.id;
         if (!current)
         {
             stop_run(host, it->second);
-            // The task starts nowhere else until this run has ended.
+            // The task does not start again until this run has ended.
             if (record != nullptr && record->state == jobs::task_state::waiting)
                 add_outstanding_order(*find_step(listed.task),
                                       listed.task.index,
-                                      {host.index, {}, stored_version_, false});
+                                      {host.info.id, {}, stored_version_ + 1});
         }
     }
+    order_took_effect(host, listed.task, listed.run);
     auto& run = it->second;
     run.confirmed = true;
     run.outstanding_until.reset();
@@ -211,6 +230,7 @@
                                     const jobs::worker_report& report)
 {
     ++host.report;
+    host.listed_all = clock_.now();
     for (const auto& it : report.running)
         reconcile_listed_run(host, it);
     if (report.ended.size() >= ends_per_page)
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -360,13 +360,10 @@
     host.uncommitted_ends.insert(end.number);
     job->ends.push_back({host.info.id, host.incarnation_start_ms, end.number});
     mark_dirty(*job);
-    if (record == nullptr || record->state == jobs::task_state::done)
-        return;
-    if (record->run != end.run && is_outstanding_on(end.task, host) &&
-        end.outcome == jobs::run_outcome::done)
-        return task_done(*job, end.task);
-    if (record->run != end.run)
+    if (record == nullptr || record->run != end.run ||
+        record->state == jobs::task_state::done)
         return;
+    order_took_effect(host, end.task, end.run);
     // A former leader may have committed the end and terminated before it
     // acknowledged it; only a success is applied again.
     if (record->state == jobs::task_state::waiting &&
--- a/src/mustardwick/dispatch/planner_test.cpp
+++ b/src/mustardwick/dispatch/planner_test.cpp
@@ -187,7 +187,7 @@
 
 // Guards against running a task twice after the reply to its order was lost:
 // its capacity stays occupied until the worker's clock has passed the order's
-// deadline.
+// deadline, and the task waits until no incarnation can carry the order out.
 Test(planner, waits_for_an_unanswered_order)
 {
     planner_fixture cell(2);
@@ -199,6 +199,22 @@
     cell.clock.advance(milliseconds(2000));
     cr_assert(cell.round().starts.empty());
     cell.report(order.worker);
+    for (const auto& it : {"k", "l"})
+        cell.submit(make_job(it, "plain", {make_step(1, 32)}));
+    const auto others = cell.round().starts;
+    cr_assert_eq(others.size(), 2);
+    for (const auto& it : others)
+    {
+        cr_assert_neq(it.task.job, "j");
+        cell.accept(it);
+        cell.report(it.worker, {{it.task, it.run, "", 0}});
+    }
+    cell.clock.advance(milliseconds(9000));
+    for (const auto& it : others)
+        cell.end(it, 1, jobs::run_outcome::done);
+    cr_assert(cell.round().starts.empty());
+    cell.clock.advance(milliseconds(5000));
+    cell.report(order.worker);
     cr_assert_eq(cell.round().starts.size(), 1);
 }
 
--- a/src/mustardwick/entry/worker_links.cpp
+++ b/src/mustardwick/entry/worker_links.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "mustardwick/base/log.hpp"
+#include "mustardwick/dispatch/call_times.hpp"
 
 namespace mustardwick::entry
 {
@@ -12,9 +13,6 @@
 
 using std::chrono::milliseconds;
 
-/// A worker answers a renewal after this time at the latest. It is a third of
-/// the longest lease, so that one lost renewal does not end the lease.
-constexpr milliseconds max_renewal_wait{1900};
 /// Delay between two renewals; runs that end within it are reported together.
 constexpr milliseconds renewal_delay{20};
 /// How often a renewal is postponed until the effect of a reported end of a run
@@ -138,7 +136,7 @@
         renewal.acknowledged_end = planner_.acknowledged_end(id);
         renewal.deadline_ms = planner_.lease_deadline(id);
         if (renewal.deadline_ms)
-            renewal.wait = max_renewal_wait;
+            renewal.wait = dispatch::max_renewal_wait;
     }
     metrics_.add("mustardwick_renewals_total");
     it.client->renew(renewal,
