--- a/src/mustardwick/dispatch/outstanding_orders_test.cpp
+++ b/src/mustardwick/dispatch/outstanding_orders_test.cpp
@@ -450,3 +450,71 @@
     cell.report("w0", {}, {{1, task, 1, jobs::run_outcome::failed, ""}});
     cr_assert_eq(cell.round().starts.size(), 1);
 }
+
+// Guards against a successor that takes an outstanding order for settled, since
+// the last transaction of the job's rows has only removed some.
+Test(outstanding_orders, of_split_jobs_are_not_settled_by_removals)
+{
+    constexpr int tasks = 2000;
+    planner_fixture cell(0);
+    std::map<std::string, std::int64_t> versions;
+    const auto commit = [&]
+    {
+        for (auto rows = cell.plan.next_commit(96, 1); !rows.empty();
+             rows = cell.plan.next_commit(96, 1))
+        {
+            ++cell.version;
+            for (const auto& it : rows)
+                if (it.value)
+                    versions[it.key] = cell.version;
+                else
+                    versions.erase(it.key);
+            cell.plan.commit_done(cell.version);
+        }
+    };
+    const auto job = [&]
+    {
+        auto out = make_job("j", "plain", {make_step(tasks, 1)});
+        out.occurrences = 2;
+        return out;
+    }();
+    jobs::job_record record;
+    record.state = jobs::job_state::running;
+    record.occurrences_opened = 2;
+    std::vector<jobs::task_record> all(tasks);
+    for (auto& it : all)
+    {
+        it.state = jobs::task_state::done;
+        it.run = 1;
+    }
+    auto last = all;
+    last[0].state = jobs::task_state::assigned;
+    last[0].worker = "w0";
+    last[0].worker_incarnation_start_ms = incarnation_start;
+    auto next = all;
+    next[0].state = jobs::task_state::waiting;
+    record.open.push_back({0, {last}});
+    record.open.push_back({1, {next}});
+    const auto rows = encode_progress(record, true);
+    ++cell.version;
+    for (const auto& [name, value] : rows.blocks)
+        versions["j" + std::string(1, block_separator) + name] = cell.version;
+    versions["j"] = cell.version;
+    cell.plan.restore(job, record, true, rows.blocks, cell.version);
+    cell.add_host("w0");
+    cell.add_host("w1");
+    // Occurrence 0 ends, which removes its blocks, and a task of occurrence 1
+    // is assigned in the same change.
+    cell.report("w0", {},
+                {{1, {"j", 0, 0, 0}, 1, jobs::run_outcome::done, ""}});
+    cell.clock.advance(milliseconds(200));
+    cell.plan.take_orders({0, 0});
+    commit();
+    const auto starts = cell.plan.take_orders({0, 0}).starts;
+    cr_assert_eq(starts.size(), 1);
+    cell.plan.start_answered(starts[0], {jobs::order_result::unknown, 0});
+    std::int64_t newest = 0;
+    for (const auto& [key, version] : versions)
+        newest = std::max(newest, version);
+    cr_assert_leq(cell.plan.settled_version(), newest);
+}
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -334,7 +334,6 @@
         it->second.order_expiry_ms = order.deadline_ms;
         const auto delivered = clock_.now() + options_.max_delivery_delay;
         host.calls_until = std::max(host.calls_until, delivered);
-        it->second.stored_in = stored_version_;
         if (order.ticket.empty())
             it->second.outstanding_until = delivered;
         host.lease_bound =
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -96,6 +96,7 @@
     it.long_running = step.long_running;
     it.kind = kind_id_of(job.specification, task.step);
     it.phase = phase;
+    it.stored_in = stored_version_ + 1;
     if (!host.runs.emplace(run_key{task, run}, it).second)
         return;
     host.used += it.size;
