--- a/src/mustardwick/dispatch/outstanding_orders_test.cpp
+++ b/src/mustardwick/dispatch/outstanding_orders_test.cpp
@@ -451,6 +451,27 @@
     cr_assert_eq(cell.round().starts.size(), 1);
 }
 
+// Guards against a task that starts again while its worker, which was not
+// listed for a while, lists its run.
+Test(outstanding_orders, are_known_of_a_worker_that_is_listed_again)
+{
+    planner_fixture cell(0);
+    cell.plan.restore(make_job("j", "plain", {make_step(1, 1)}),
+                      record_of(jobs::task_state::waiting, "w0"), false, {}, 1);
+    cell.add_host("w1");
+    const auto began = cell.clock.now();
+    while (cell.clock.now() < began + seconds(30))
+    {
+        cell.report("w1");
+        if (cell.clock.now() > began + seconds(13))
+        {
+            cell.list_host("w0", "z", false);
+            cell.report("w0", {{{"j", 0, 0, 0}, 1, "", 0}});
+        }
+        cr_assert(cell.round().starts.empty());
+    }
+}
+
 // Guards against a successor that takes an outstanding order for settled, since
 // the last transaction of the job's rows has only removed some.
 Test(outstanding_orders, of_split_jobs_are_not_settled_by_removals)
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -215,9 +215,9 @@
     if (is_assigned)
         add_run(host, job, {job.specification.id, open.number, step, index},
                 task.run, run_phase::inherited);
-    const auto until = authority_end + options_.max_delivery_delay;
+    host.calls_until = authority_end + options_.max_delivery_delay;
     add_outstanding_order(job.steps[position][std::size_t(step)], index,
-                          {task.worker, until, version, true});
+                          {task.worker, host.calls_until, version, true});
 }
 
 std::size_t planner::reject_unsent_jobs()
