--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -230,11 +230,11 @@
                                     const jobs::worker_report& report)
 {
     ++host.report;
-    host.listed_all = clock_.now();
     for (const auto& it : report.running)
         reconcile_listed_run(host, it);
     if (report.ended.size() >= ends_per_page)
         return;
+    host.listed_all = clock_.now();
     std::vector<run_key> terminated;
     for (auto& [key, it] : host.runs)
     {
