--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -332,7 +332,8 @@
         it->second.phase = run_phase::ordered;
         it->second.ordered = clock_.now();
         it->second.order_expiry_ms = order.deadline_ms;
-        const auto delivered = clock_.now() + options_.max_delivery_delay;
+        const auto delivered =
+            clock_.now() + order_timeout + options_.max_delivery_delay;
         host.calls_until = std::max(host.calls_until, delivered);
         if (order.ticket.empty())
             it->second.outstanding_until = delivered;
--- a/src/mustardwick/dispatch/planner_leases.cpp
+++ b/src/mustardwick/dispatch/planner_leases.cpp
@@ -37,7 +37,8 @@
     if (!host.reachable || host.lease_is_stored)
         return std::nullopt;
     host.renewed = clock_.now();
-    host.calls_until = *host.renewed + options_.max_delivery_delay;
+    host.calls_until =
+        *host.renewed + max_renewal_time + options_.max_delivery_delay;
     host.lease_bound = std::max(host.lease_bound, longest_lease_from_now());
     return estimated_clock(host) + options_.max_lease.count();
 }
