--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -175,6 +175,9 @@
 struct account_usage
 {
     policy::resources used;
+    /// Of waiting tasks whose orders may still be carried out, in the last
+    /// round.
+    policy::resources outstanding;
     policy::share_bucket share;
     /// Jobs beyond the share that have not started, in the last round.
     std::size_t waiting_surplus = 0;
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -477,6 +477,9 @@
     void drop_settled_orders(job_run& job, std::size_t position, int step);
     /// @brief Returns whether waiting tasks of a step have outstanding orders.
     bool has_outstanding_orders(const ready_step& step);
+    /// @brief Adds the waiting tasks of a job that may still be started to the
+    /// usage of its account.
+    static void count_outstanding_orders(job_run& job);
     /// @brief Places the tasks of a step some of which have outstanding orders;
     /// returns false when others have to wait for capacity.
     bool place_beside_outstanding(const ready_step& step,
--- a/src/mustardwick/dispatch/outstanding_orders_test.cpp
+++ b/src/mustardwick/dispatch/outstanding_orders_test.cpp
@@ -422,6 +422,23 @@
                   base::steady_time::duration(max_delay).count());
 }
 
+// Guards against an account above its maximum (QUOTA) when orders that were not
+// answered are carried out late.
+Test(outstanding_orders, count_towards_the_maximum_of_the_account)
+{
+    planner_fixture cell(2);
+    cell.submit(make_job("j", "plain", {make_step(4, 4)}, "capped"));
+    const auto first = cell.round().starts;
+    cr_assert_eq(first.size(), 2);
+    cell.plan.start_answered(first[0], {jobs::order_result::unknown, 0});
+    cell.plan.start_answered(
+        first[1], {jobs::order_result::unhealthy, cell.worker_clock()});
+    cell.clock.advance(seconds(2));
+    for (const auto& it : {"w0", "w1"})
+        cell.report(it);
+    cr_assert_eq(cell.round().starts.size(), 1);
+}
+
 // Guards against orders that are never settled: a successor would let all tasks
 // of lost workers wait.
 Test(outstanding_orders, of_tasks_that_are_done_are_settled)
--- a/src/mustardwick/dispatch/planner_outstanding.cpp
+++ b/src/mustardwick/dispatch/planner_outstanding.cpp
@@ -122,6 +122,22 @@
                        });
 }
 
+void planner::count_outstanding_orders(job_run& job)
+{
+    for (std::size_t at = 0; at < job.steps.size(); ++at)
+        for (std::size_t step = 0; step < job.steps[at].size(); ++step)
+        {
+            const auto& spec = job.specification.steps[step];
+            // A task that lasts may start again meanwhile.
+            if (spec.long_running)
+                continue;
+            for (const auto& [index, order] : job.steps[at][step].outstanding)
+                if (job.record.open[at].tasks[step][std::size_t(index)].state ==
+                    jobs::task_state::waiting)
+                    job.context.usage->outstanding += spec.size;
+        }
+}
+
 bool planner::place_beside_outstanding(const ready_step& step,
                                        std::vector<candidate> allowed,
                                        int affordable)
--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -144,7 +144,8 @@
     if (context.maximum == nullptr)
         return std::numeric_limits<int>::max();
     const auto& maximum = *context.maximum;
-    const auto& used = context.usage->used;
+    auto used = context.usage->used;
+    used += context.usage->outstanding;
     std::int64_t n = std::numeric_limits<int>::max();
     const auto bound =
         [&n](std::int64_t limit, std::int64_t taken, std::int64_t need)
--- a/src/mustardwick/dispatch/planner_ready.cpp
+++ b/src/mustardwick/dispatch/planner_ready.cpp
@@ -150,7 +150,10 @@
     std::vector<ready_step> out;
     const auto now = clock_.now();
     for (auto& [name, usage] : accounts_)
+    {
         usage.waiting_surplus = 0;
+        usage.outstanding = {};
+    }
     for (const auto& [number, active] : active_)
     {
         auto& job = *active;
@@ -166,6 +169,7 @@
             ++job.context.usage->waiting_surplus;
             ++round_.surplus_jobs;
         }
+        count_outstanding_orders(job);
         if (is_parked(job))
         {
             ++round_.parked_jobs;
