--- a/testing/soak/given_up_test.py
+++ b/testing/soak/given_up_test.py
@@ -5,12 +5,10 @@
 import argparse
 import asyncio
 import dataclasses
-import pathlib
 import signal
-import sys
-import tempfile
 import time
 
+import case_runner
 from given_up import call_and_leave, cancel_until_acknowledged
 from hosted_soak import Soak
 from workers import CANCEL_S
@@ -161,29 +159,5 @@
                 if task not in self.promises.done]
 
 
-async def run_case(program, folder, name):
-    cell = Cell(program, folder, FIRST_SEED + list(CASES).index(name))
-    try:
-        return await cell.run(CASES[name])
-    finally:
-        cell.kill_daemons()
-
-
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--program", required=True, help="path of mustardwickd")
-    parser.add_argument("--case", required=True, choices=CASES)
-    parser.add_argument("--keep", help="folder for the daemon logs")
-    options = parser.parse_args()
-    with tempfile.TemporaryDirectory() as temporary:
-        folder = pathlib.Path(options.keep or temporary)
-        folder.mkdir(parents=True, exist_ok=True)
-        failures = asyncio.run(run_case(options.program, folder,
-                                        options.case))
-    for it in failures:
-        print("FAILED", it)
-    sys.exit(1 if failures else 0)
-
-
 if __name__ == "__main__":
-    main()
+    case_runner.main(__doc__, CASES, FIRST_SEED, Cell)
--- a/testing/soak/restarted_worker_test.py
+++ b/testing/soak/restarted_worker_test.py
@@ -2,20 +2,16 @@
 """Tests that no task runs twice when a worker starts again under its id and is
 cut off soon after, while calls to its former incarnation are under way."""
 
-import argparse
 import asyncio
-import pathlib
-import random
-import sys
-import tempfile
 import time
 
+import case_runner
 from daemons import HOST, ZONES
 from given_up_test import Cell
 from http_stub import SILENCE_S, Withhold
 from workers import Worker
 
-SEED = 84
+FIRST_SEED = 84
 # Jobs are handed in at this interval, so that orders are under way at any time.
 INTERVAL_S = 0.08
 # A task that ends while its worker is cut off, and one that outlasts the cut.
@@ -128,7 +124,7 @@
         handing_in = asyncio.ensure_future(self.hand_in_jobs())
         await asyncio.sleep(3)
         worker = self.workers[0]
-        prepare, late_s = CASES[case]
+        prepare, late_s = case
         await prepare(self, worker)
         worker.fault = "cut"
         self.sending = False
@@ -146,29 +142,5 @@
 }
 
 
-async def run_case(program, folder, name):
-    random.seed(SEED)
-    cell = RestartCell(program, folder, SEED + list(CASES).index(name))
-    try:
-        return await cell.run(name)
-    finally:
-        cell.kill_daemons()
-
-
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--program", required=True, help="path of mustardwickd")
-    parser.add_argument("--case", required=True, choices=CASES)
-    parser.add_argument("--keep", help="folder for the daemon logs")
-    options = parser.parse_args()
-    with tempfile.TemporaryDirectory() as temporary:
-        folder = pathlib.Path(options.keep or temporary)
-        folder.mkdir(parents=True, exist_ok=True)
-        failures = asyncio.run(run_case(options.program, folder, options.case))
-    for it in failures:
-        print("FAILED", it)
-    sys.exit(1 if failures else 0)
-
-
 if __name__ == "__main__":
-    main()
+    case_runner.main(__doc__, CASES, FIRST_SEED, RestartCell)
