Draw the clocks of restarted workers from the soak's seed

A next incarnation began its clock anywhere below 10,000 s, so that it was less than a second ahead of the former one in hardly any run. Behind, slightly ahead and far ahead are drawn now with the same chance, from a generator of their own, so that the faults of regression seeds stay as they are.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -10,6 +10,7 @@
 import time
 
 from http_stub import serve
+from workers import next_clock_ms
 
 STORE_FAULTS = ["busy", "reset", "unresponsive", "slow", "lost", "late"]
 PATH_FAULTS = ["refuse", "reset", "one_way"]
@@ -96,11 +97,12 @@
 
 class FirstFaults:
     """Injects faults of daemons, of their paths to the store and of workers.
-    Draws from the generator of the jobs."""
+    Draws from the generator of the jobs, but for the clocks of workers."""
 
     def __init__(self, soak):
         self.soak = soak
         self.random = soak.random
+        self.clocks = random.Random(soak.options.seed ^ 0xc10c)
         self.active = soak.faults_active
 
     async def daemon_fault(self):
@@ -152,7 +154,8 @@
                 it.crash()
                 self.soak.store.drop("servers", it.id)
                 await asyncio.sleep(length)
-                it.start_incarnation()
+                it.start_incarnation(next_clock_ms(it.clock_ms(),
+                                                   self.clocks))
             return
         with self.active.during("unplanned"):
             it.fault = kind
--- a/testing/soak/workers.py
+++ b/testing/soak/workers.py
@@ -19,6 +19,18 @@
 # Of the queues' tasks, before their job has failed.
 ATTEMPTS = 4
 CPU = 8000
+MAX_FIRST_CLOCK_MS = 10_000_000
+
+
+def next_clock_ms(now_ms, draw):
+    """Draws where the clock of the next incarnation begins: behind the former
+    one, less than a second ahead of it, or far ahead."""
+    kind = draw.choice(["behind", "slightly ahead", "far ahead"])
+    if kind == "behind":
+        return draw.randrange(now_ms)
+    if kind == "slightly ahead":
+        return now_ms + draw.randrange(1, 1000)
+    return now_ms + draw.randrange(60_000, MAX_FIRST_CLOCK_MS)
 
 
 class Promises:
@@ -124,7 +136,7 @@
         self.incarnation = 0
         self.start_incarnation()
 
-    def start_incarnation(self):
+    def start_incarnation(self, start_clock_ms=None):
         """Starts under the same id with nothing of the former incarnation: its
         clock, the numbers of its ends and its token begin anew, and the
         connections of the former one stay silent."""
@@ -133,7 +145,8 @@
         if self.listener:
             self.listener.begin_process()
         self.start_time = time.monotonic()
-        self.start_clock_ms = random.randrange(10_000_000)
+        self.start_clock_ms = (random.randrange(MAX_FIRST_CLOCK_MS)
+                               if start_clock_ms is None else start_clock_ms)
         self.token = 0
         self.lease_ms = 0
         self.runs = {}
