--- a/testing/soak/workers.py
+++ b/testing/soak/workers.py
@@ -122,6 +122,7 @@
         self.host = host
         self.port = port
         self.zone = zone
+        self.labels = ["a", "r1"]
         self.promises = promises
         self.store = store
         self.fault = None
@@ -209,7 +210,7 @@
                     "state": "ready", "cold_remaining_ms": 0,
                     "sequence": self.sequence, "born": self.incarnation,
                     "capacity": {"cpu": CPU, "mem_mb": 16000, "gpus": 0},
-                    "labels": ["a", "r1"]})
+                    "labels": self.labels})
             await asyncio.sleep(1.5)
 
     def start_run(self, body):
