--- a/testing/soak/given_up_test.py
+++ b/testing/soak/given_up_test.py
@@ -54,11 +54,11 @@
 
 
 class Cell(Soak):
-    """Three daemons and four workers, without load and faults."""
+    """Three daemons and a few workers, without load and faults."""
 
-    def __init__(self, program, folder, seed):
+    def __init__(self, program, folder, seed, workers=4):
         super().__init__(argparse.Namespace(program=program, seed=seed,
-                                            daemons=3, workers=4), folder)
+                                            daemons=3, workers=workers), folder)
 
     async def wait_until_serving(self):
         deadline = time.monotonic() + 20
