--- a/src/mustardwick/dispatch/worker_incarnation_test.cpp
+++ b/src/mustardwick/dispatch/worker_incarnation_test.cpp
@@ -125,3 +125,26 @@
     cell.report("w0", {}, {}, incarnation_start + 1);
     cr_assert_eq(cell.round().starts.size(), 1);
 }
+
+// Guards against ends of a restarted worker that are taken for ends of its
+// former incarnation, whose numbers were higher: they would be acknowledged
+// unread, and their tasks started again.
+Test(planner, acknowledges_no_end_of_an_incarnation_by_the_numbers_of_another)
+{
+    planner_fixture cell(1);
+    cell.submit(make_job("j", "plain", {make_step(1, 1)}));
+    cell.end(cell.run_round().starts.at(0), 5, jobs::run_outcome::done);
+    cell.commit();
+    cr_assert_eq(cell.plan.acknowledged_end("w0"), 5);
+
+    cell.report("w0", {}, {}, incarnation_start + 1);
+    cr_assert_eq(cell.plan.acknowledged_end("w0"), 0);
+    cell.submit(make_job("k", "plain", {make_step(1, 1)}));
+    const auto order = cell.run_round().starts.at(0);
+    cell.report("w0", {},
+                {{1, order.task, order.run, jobs::run_outcome::done, ""}},
+                incarnation_start + 1);
+    cell.commit();
+    cr_assert_eq(cell.plan.acknowledged_end("w0"), 1);
+    cr_assert_eq(cell.plan.state_of("k"), jobs::job_state::completed);
+}
