--- a/src/mustardwick/dispatch/planner_place.cpp
+++ b/src/mustardwick/dispatch/planner_place.cpp
@@ -281,6 +281,12 @@
         order.ticket_expires = where.ticket->expires;
     }
     job.starts.push_back(std::move(order));
+    if (run > 1)
+        log_event(log_level::info, "planner", "task_placed_again",
+                  {{"task", to_string(key)},
+                   {"run", run},
+                   {"worker", host.info.id},
+                   {"incarnation_start_ms", host.incarnation_start_ms}});
     if (job.record.state == jobs::job_state::queued)
     {
         job.record.state = jobs::job_state::running;
