--- a/testing/soak/restarted_worker_test.py
+++ b/testing/soak/restarted_worker_test.py
@@ -30,6 +30,9 @@
 MIN_RUNS = 6
 # Started again before the cut.
 MIN_RERUNS = 1
+# The validity of an order, the report after it, and the start of its task
+# elsewhere.
+EXPIRED_S = 3
 # From the first unanswered order to the restart, shorter than the time after
 # which an unanswered order is given up.
 UNDER_WAY_S = 0.3
@@ -196,9 +199,22 @@
         """First orders are left unanswered until they have expired and their
         tasks have started again on the worker, which then starts again behind a
         cut."""
+        await self.expire(worker,
+                          lambda: len(self.reruns(worker)) >= MIN_RERUNS)
+
+    async def expire_where_unsuitable(self, worker):
+        """First orders are left unanswered until they have expired, and the
+        worker has lost the label that their tasks require."""
+        worker.labels = worker.labels[:1]
+        await self.withhold_orders(worker, is_first_order)
+        await asyncio.sleep(EXPIRED_S)
+        worker.fault = "cut"
+        worker.start_again()
+
+    async def expire(self, worker, is_over):
         await self.withhold_orders(worker, is_first_order)
         worker.withholds = never
-        await wait_for(lambda: len(self.reruns(worker)) >= MIN_RERUNS, 4)
+        await wait_for(is_over, 6)
         worker.fault = "cut"
         worker.start_again()
 
@@ -285,6 +301,10 @@
     # late.
     "expired-then-restarted": Case(RestartCell.expire_and_restart, 5.5,
                                    run_s=LONG_RUN_S),
+    # No lease covers the task when its order has expired, and another worker is
+    # the only one that suits it.
+    "expired-where-unsuitable": Case(RestartCell.expire_where_unsuitable, 5,
+                                     watch_s=6, run_s=LONG_RUN_S),
     "gang": Case(RestartCell.restart_behind_a_cut, run_s=LONG_RUN_S, count=2),
 }
 
