--- a/testing/soak/restarted_worker_test.py
+++ b/testing/soak/restarted_worker_test.py
@@ -22,6 +22,7 @@
 # A task that ends while its worker is cut off, and one that outlasts the cut.
 RUN_S = (1.0, 30.0)
 LONG_RUN_S = (30.0,)
+SHORT_RUN_S = (1.0,)
 # The longest lease, its tolerance for slow clocks, and the work after it.
 CUT_S = 11
 # Shorter than the time after which an unanswered renewal is given up.
@@ -202,6 +203,14 @@
         await self.expire(worker,
                           lambda: len(self.reruns(worker)) >= MIN_RERUNS)
 
+    async def expire_and_end(self, worker):
+        """The same, when the later run has ended and the end is taken note
+        of."""
+        done = self.promises.acked_done
+        await self.expire(worker,
+                          lambda: any(it.body["task"] in done
+                                      for it in worker.withheld_orders()))
+
     async def expire_where_unsuitable(self, worker):
         """First orders are left unanswered until they have expired, and the
         worker has lost the label that their tasks require."""
@@ -305,6 +314,9 @@
     # the only one that suits it.
     "expired-where-unsuitable": Case(RestartCell.expire_where_unsuitable, 5,
                                      watch_s=6, run_s=LONG_RUN_S),
+    # The later run has ended.
+    "expired-then-done": Case(RestartCell.expire_and_end, 3, watch_s=4,
+                              run_s=SHORT_RUN_S),
     "gang": Case(RestartCell.restart_behind_a_cut, run_s=LONG_RUN_S, count=2),
 }
 
