--- a/testing/soak/hosted_soak.py
+++ b/testing/soak/hosted_soak.py
@@ -37,6 +37,12 @@
 # Time without faults after the last planned stop: in its second half the check
 # of waiting jobs applies.
 CALM_S = 20
+# Share of the answers of a worker that close their connection, and its idle
+# time-out in seconds.
+CONNECTIONS = {"kept": (0, None), "closed": (1, None), "half": (0.5, None),
+               "idle": (0, 0.3)}
+# Of the workers that do not keep their connections.
+CLOSING_SHARE = 0.3
 # Otherwise only configurations change for this time, so that the check of
 # answers applies.
 SETTLE_S = 13
@@ -81,6 +87,17 @@
         self.over = False
         self.tasks = set()
 
+    def choose_connections(self):
+        """Decides how each worker treats its connections."""
+        chooser = random.Random(f"connections-{self.options.seed}")
+        for it in self.workers:
+            kind = self.options.connections
+            if kind == "drawn":
+                kind = "kept"
+                if chooser.random() < CLOSING_SHARE:
+                    kind = chooser.choice(["closed", "half", "idle"])
+            it.closing_share, it.idle_s = CONNECTIONS[kind]
+
     def configure(self):
         self.version += 1
         tenants = [{"name": "a", "api_keys": ["k-a"], "weight": 50},
@@ -272,6 +289,7 @@
     async def run(self):
         self.start_time = time.monotonic()
         self.configurations.choose_paths()
+        self.choose_connections()
         await self.start()
         await asyncio.sleep(2)
         until = time.monotonic() + self.options.seconds
@@ -356,6 +374,9 @@
                         help="jobs per second")
     parser.add_argument("--faults", type=float, default=0.7,
                         help="faults per second")
+    parser.add_argument("--connections", choices=["drawn", *CONNECTIONS],
+                        default="drawn",
+                        help="how workers treat connections to them")
     parser.add_argument("--keep", help="folder for the daemon logs")
     options = parser.parse_args()
     random.seed(options.seed)
--- a/testing/soak/http_stub.py
+++ b/testing/soak/http_stub.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import select
 import socket
 import struct
@@ -62,6 +63,10 @@
         self.port = port
         self.handle = handle
         self.resets = False
+        # Share of the answers that close their connection, and the time after
+        # which a connection without a request is closed; None: never.
+        self.closing_share = 0
+        self.idle_s = None
         # Bytes a second that the path to the clients carries; None: no limit.
         self.rate = None
         self.path = asyncio.Lock()
@@ -100,7 +105,8 @@
         self.writers.add(writer)
         process = self.process
         try:
-            while (request := await read_request(reader)) is not None:
+            while (request := await asyncio.wait_for(
+                    read_request(reader), self.idle_s)) is not None:
                 if process != self.process:
                     await asyncio.sleep(SILENCE_S)
                     break
@@ -109,13 +115,19 @@
                 if self.rate is not None:
                     self.answers.append((time.monotonic(),
                                          request.query.get("table"), len(data)))
+                closes = random.random() < self.closing_share
                 await self.write(
                     writer,
                     b"HTTP/1.1 %d -\r\nContent-Type: application/json\r\n"
-                    b"Content-Length: %d\r\n\r\n" % (status, len(data)) + data)
+                    b"%sContent-Length: %d\r\n\r\n" %
+                    (status, b"Connection: close\r\n" if closes else b"",
+                     len(data)) + data)
+                if closes:
+                    break
         except (Withhold, ConnectionError, asyncio.IncompleteReadError,
-                asyncio.CancelledError, ValueError):
-            # Withheld responses, killed peers and shutdown of the run.
+                asyncio.CancelledError, asyncio.TimeoutError, ValueError):
+            # Withheld responses, killed peers, idle connections and shutdown of
+            # the run.
             pass
         finally:
             self.writers.discard(writer)
--- a/testing/soak/workers.py
+++ b/testing/soak/workers.py
@@ -117,6 +117,9 @@
         # worker's own state does not depend on it.
         self.path = None
         self.listener = None
+        # How it treats connections; see http_stub.Listener.
+        self.closing_share = 0
+        self.idle_s = None
         self.up = False
         # Whether it writes its registry entry.
         self.announces = True
@@ -305,6 +308,8 @@
         asyncio.ensure_future(self.tick())
         asyncio.ensure_future(self.announce())
         self.listener = await serve(self.host, self.port, self.handle)
+        self.listener.closing_share = self.closing_share
+        self.listener.idle_s = self.idle_s
 
     def break_path(self, kind):
         self.path = kind
