--- a/testing/soak/restarted_worker_test.py
+++ b/testing/soak/restarted_worker_test.py
@@ -72,17 +72,19 @@
 
 
 class RestartCell(Cell):
+    worker_type = RestartingWorker
+
     def __init__(self, program, folder, seed):
         super().__init__(program, folder, seed)
         self.workers = [
-            RestartingWorker(f"w-{number}", HOST, it.port,
+            self.worker_type(f"w-{number}", HOST, it.port,
                              ZONES[number % len(ZONES)], self.promises,
                              self.store)
             for number, it in enumerate(self.workers)]
         for it in self.workers:
             it.start_clock_ms = 10_000_000
 
-    async def hand_in_jobs(self):
+    async def hand_in_jobs(self, run_s=RUN_S):
         number = 0
         while self.sending:
             number += 1
@@ -90,7 +92,7 @@
             self.add_job(name)
             job = self.promises.jobs[name]
             job["steps"] = [{**job["steps"][0], "cpu": 100,
-                             "run_s": RUN_S[number % len(RUN_S)]}]
+                             "run_s": run_s[number % len(run_s)]}]
             self.spawn(self.answer(self.daemons[number % len(self.daemons)],
                                    "POST", name))
             await asyncio.sleep(INTERVAL_S)
