--- a/include/mustardwick/aio/http_channel.hpp
+++ b/include/mustardwick/aio/http_channel.hpp
@@ -23,11 +23,12 @@
     std::string target = "/";
     std::string body;
     /// Makes the body when the call is sent, if it depends on what was sent
-    /// before.
-    std::function<std::string()> make_body;
+    /// before; see http_result::is_verified.
+    std::function<std::string(bool is_verified)> make_body;
     std::vector<std::pair<std::string, std::string>> headers;
     /// The process that the call is meant for, as channel_options::identify
-    /// shows it. The call is sent to no other.
+    /// shows it. The call is sent to no other, except as
+    /// http_result::is_verified tells.
     std::optional<std::int64_t> process;
     /// Includes the time that the call waits for a connection.
     std::chrono::milliseconds timeout{1000};
@@ -59,6 +60,10 @@
     int status = 0;
     std::string body;
     std::string reason;
+    /// False if the call had a connection of its own, because the peer closes
+    /// a connection after the call that identifies its process: the process
+    /// may have changed in between.
+    bool is_verified = true;
 
     bool answered() const
     {
@@ -71,7 +76,8 @@
 /// @brief The first call on a new connection, which shows which process the
 /// connection leads to. A process that starts again at an address has none of
 /// the connections of the former one, so that the answer holds for as long as
-/// the connection is open.
+/// the connection is open. If it ends with the answer, a call that is meant for
+/// the process is sent over another connection, and is not verified.
 struct identification
 {
     http_call call;
--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -72,8 +72,9 @@
     std::int64_t order_expiry_ms = 0;
     /// When the order was sent, unless a former leader sent it.
     std::optional<base::steady_time> ordered;
-    /// Until when the order is outstanding: it was not answered, and an
-    /// incarnation of the worker may still carry it out. Empty once its effect
+    /// Until when the order is outstanding: it was not answered, or the answer
+    /// may be that of another incarnation than was meant, and an incarnation of
+    /// the worker may still carry it out. Empty once its effect
     /// is known, and for an order with a ticket, which holds for one
     /// incarnation.
     std::optional<base::steady_time> outstanding_until;
@@ -114,6 +115,8 @@
     /// No call of this leader that lengthens a lease is carried out after this
     /// time.
     base::steady_time calls_until;
+    /// Until when orders are outstanding whose runs were given up.
+    base::steady_time lost_orders_until;
     /// When this leader sent the last renewal that lengthened the lease.
     std::optional<base::steady_time> renewed;
     /// When the last report arrived.
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -288,6 +288,10 @@
     /// @brief Returns the highest number up to which the effects of all ends of
     /// a worker are durable; 0 for an unknown worker.
     std::int64_t acknowledged_end(const std::string& id) const;
+    /// @brief Returns the same for a renewal that may reach another
+    /// incarnation: 0 while that one may have ends of outstanding orders which
+    /// nobody has read.
+    std::int64_t acknowledged_unverified(const std::string& id) const;
     /// @brief Returns whether a worker reported ends whose effects are not yet
     /// committed.
     bool has_uncommitted_ends(const std::string& id) const;
@@ -447,7 +451,7 @@
     // planner_outstanding.cpp
     /// @brief Remembers the order of a run that is removed, if it is
     /// outstanding.
-    void keep_outstanding_order(const host_state& host, const running& it);
+    void keep_outstanding_order(host_state& host, const running& it);
     static void add_outstanding_order(step_run& step, int index,
                                       const outstanding_order& order);
     /// @brief Returns whether a host has a run of a task other than the given
--- a/include/mustardwick/entry/worker_links.hpp
+++ b/include/mustardwick/entry/worker_links.hpp
@@ -49,6 +49,9 @@
         int failures = 0;
         /// How often the next renewal has been postponed.
         int deferrals = 0;
+        /// The last renewal acknowledged fewer ends than are committed; the
+        /// worker answers at once with the same ends.
+        bool withheld_ends = false;
         /// The next renewal only asks for a report, which the worker gives at
         /// once, whichever incarnation it is.
         bool asks_at_once = false;
@@ -60,6 +63,9 @@
     /// @brief Asks a worker for a report, unless it is being asked.
     void ask_at_once(const std::string& id);
 
+    /// @brief Returns which end to acknowledge if the renewal may reach another
+    /// incarnation.
+    std::int64_t acknowledge_unverified(const std::string& id);
     void renew(const std::string& id);
     void renewed(const std::string& id, std::uint64_t generation,
                  platform::renewal_reply reply);
--- a/include/mustardwick/jobs/worker.hpp
+++ b/include/mustardwick/jobs/worker.hpp
@@ -75,6 +75,9 @@
     std::int64_t incarnation_start_ms = 0;
     std::vector<running_run> running;
     std::vector<ended_run> ended;
+    /// False if another incarnation than the one that was meant may have
+    /// reported: earlier calls to the worker need not be void.
+    bool is_verified = true;
 };
 
 /// @brief A worker's reply to an order.
@@ -111,6 +114,9 @@
     order_result result = order_result::unknown;
     /// The worker's clock; 0 when it did not reply.
     std::int64_t clock_ms = 0;
+    /// False if another incarnation than the one that was meant may have
+    /// replied, because the worker does not keep its connections.
+    bool is_verified = true;
 };
 
 } // namespace mustardwick::jobs
--- a/src/mustardwick/aio/http_channel.cpp
+++ b/src/mustardwick/aio/http_channel.cpp
@@ -123,20 +123,35 @@
     {
         process_ = identification_->process_of(result);
         identification_.reset();
+        const bool keeps = keep && is_usable();
         // The identification of another connection may have overtaken it.
-        if (!process_ && keep && !std::exchange(has_identified_again_, true))
-            return identify();
-        if (!keep || !process_)
+        if (!process_ && !std::exchange(has_identified_again_, true))
+            return keeps ? identify() : reconnect();
+        if (!process_)
             return finish_failed(
                 transport_outcome::not_sent,
                 make_error_code(boost::system::errc::protocol_error));
-        begin_call();
+        if (!is_meant(current_->call))
+            return finish_unsent(keeps);
+        is_verified_ = keeps;
+        if (keeps)
+            begin_call();
+        else
+            reconnect();
+    }
+
+    void reconnect()
+    {
+        error_code ignored;
+        stream_.socket().close(ignored);
+        buffer_.clear();
+        connect();
     }
 
     void begin_call()
     {
         if (!is_meant(current_->call))
-            return finish_unsent();
+            return finish_unsent(true);
         prepare(current_->call);
         write();
     }
@@ -153,7 +168,8 @@
         if (!call.body.empty() || call.method == "POST")
         {
             request_.set(http::field::content_type, "application/json");
-            request_.body() = call.make_body ? call.make_body() : call.body;
+            request_.body() =
+                call.make_body ? call.make_body(is_verified_) : call.body;
             request_.prepare_payload();
         }
     }
@@ -175,7 +191,7 @@
                     return self->finish_failed(transport_outcome::not_sent,
                                                failed);
                 set_low_latency(self->stream_.socket());
-                if (self->owner_->options_.identify)
+                if (self->owner_->options_.identify && self->is_verified_)
                     self->identify();
                 else
                     self->begin_call();
@@ -321,17 +337,21 @@
         owner->released(shared_from_this(), false);
         if (timed_out)
             ec = beast::error::timeout;
-        call.done({end, 0, {}, ec.message()});
+        call.done({end, 0, {}, ec.message(), is_verified_});
     }
 
-    /// The connection stays open for calls that are meant for its process.
-    void finish_unsent()
+    /// The connection stays open for calls that are meant for its process,
+    /// unless the peer closes it.
+    void finish_unsent(bool keep)
     {
         stream_.expires_never();
+        error_code ignored;
+        if (!keep)
+            stream_.socket().close(ignored);
         auto owner = std::move(owner_);
         auto call = std::move(*current_);
         current_.reset();
-        owner->released(shared_from_this(), true);
+        owner->released(shared_from_this(), keep);
         owner->refuse(std::move(call.done));
     }
 
@@ -341,20 +361,23 @@
         out.end = transport_outcome::answered;
         out.status = parser_->get().result_int();
         out.body = std::move(parser_->get().body());
+        out.is_verified = is_verified_;
         const bool keep = parser_->keep_alive();
         if (identification_)
             return identified(out, keep);
+        // The process of an unverified connection is not known.
+        const bool is_reusable = keep && is_verified_;
         stream_.expires_never();
         auto owner = std::move(owner_);
         owner->last_part_ = {};
         auto call = std::move(*current_);
         current_.reset();
-        if (!keep)
+        if (!is_reusable)
         {
             error_code ignored;
             stream_.socket().close(ignored);
         }
-        owner->released(shared_from_this(), keep);
+        owner->released(shared_from_this(), is_reusable);
         call.done(std::move(out));
     }
 
@@ -380,6 +403,9 @@
     /// Set while the call in flight is the one that identifies the peer.
     std::optional<identification> identification_;
     bool has_identified_again_ = false;
+    /// Cleared when the peer has closed the connection after the
+    /// identification; the next one is not identified.
+    bool is_verified_ = true;
     /// The process that the connection leads to, if it was identified.
     std::optional<std::int64_t> process_;
 };
--- a/src/mustardwick/aio/http_channel_test.cpp
+++ b/src/mustardwick/aio/http_channel_test.cpp
@@ -244,3 +244,100 @@
         channel->close();
     }
 }
+
+namespace
+{
+
+struct closing_case
+{
+    const char* name;
+    /// The identification whose answer closes its connection.
+    bool closes;
+    std::int64_t meant;
+    transport_outcome end;
+    bool is_verified;
+    /// Calls that the server receives, and their connections.
+    int identifications;
+    int received;
+    std::uint64_t connections;
+};
+
+} // namespace
+
+// Guards against a peer that closes its connection after each answer and gets
+// no calls, and against calls to a peer that keeps its connections which cost
+// more than before.
+Test(http_channel, reaches_a_peer_that_closes_after_each_answer)
+{
+    const closing_case cases[] = {
+        {"keeps", false, 1, transport_outcome::answered, true, 1, 2, 1},
+        {"closes", true, 1, transport_outcome::answered, false, 2, 2, 4},
+        {"closes, another process is meant", true, 2,
+         transport_outcome::other_process, true, 2, 0, 2},
+    };
+    std::uint16_t port = 18'821;
+    for (const auto& it : cases)
+    {
+        boost::asio::io_context io;
+        const wire::endpoint where{"127.0.0.1", port++};
+        int identifications = 0;
+        int received = 0;
+        http_listener server(io, where, "Deadline-Ms", aio::test::ample_guard(),
+                             [&](const auto& request, const auto& respond)
+                             {
+                                 const bool identifies =
+                                     request.target == "/who";
+                                 identifications += identifies ? 1 : 0;
+                                 received += identifies ? 0 : 1;
+                                 respond({200, "1", "", {}});
+                             });
+        cr_assert(server.start());
+        if (it.closes)
+            server.begin_drain();
+        channel_options options;
+        options.identify = []
+        {
+            identification out;
+            out.call.target = "/who";
+            out.process_of = [](const http_result& result)
+            {
+                return std::optional<std::int64_t>(std::stoll(result.body));
+            };
+            return out;
+        };
+        const auto channel = std::make_shared<http_channel>(io, where, options);
+        for (int call = 0; call < 2; ++call)
+        {
+            std::optional<http_result> result;
+            std::optional<bool> made_verified;
+            http_call sent;
+            sent.target = "/work";
+            sent.process = it.meant;
+            sent.make_body = [&](bool is_verified)
+            {
+                made_verified = is_verified;
+                return std::string("{}");
+            };
+            channel->send(std::move(sent),
+                          [&](http_result answer)
+                          {
+                              result = std::move(answer);
+                              io.stop();
+                          });
+            io.restart();
+            io.run_for(milliseconds(3000));
+            cr_assert(result.has_value(), "%s", it.name);
+            cr_assert(result->end == it.end, "%s: %s", it.name,
+                      result->reason.c_str());
+            cr_assert_eq(result->is_verified, it.is_verified, "%s", it.name);
+            if (result->answered())
+                cr_assert_eq(made_verified.value(), it.is_verified, "%s",
+                             it.name);
+        }
+        cr_assert_eq(identifications, it.identifications, "%s", it.name);
+        cr_assert_eq(received, it.received, "%s", it.name);
+        cr_assert_eq(channel->connections_opened(), it.connections, "%s",
+                     it.name);
+        channel->close();
+    }
+}
--- a/src/mustardwick/dispatch/outstanding_orders_test.cpp
+++ b/src/mustardwick/dispatch/outstanding_orders_test.cpp
@@ -35,9 +35,9 @@
         add_host("w1");
     }
 
-    void answer(jobs::order_result result)
+    void answer(jobs::order_result result, bool is_verified = true)
     {
-        plan.start_answered(order, {result, worker_clock()});
+        plan.start_answered(order, {result, worker_clock(), is_verified});
     }
 
     /// The order has expired by the clock of the incarnation that it was meant
@@ -81,7 +81,10 @@
 enum class event
 {
     accepted,
+    accepted_unverified,
     refused,
+    refused_unverified,
+    listed,
     silent,
     expired,
     accepted_again
@@ -102,8 +105,14 @@
     {
     case event::accepted:
         return it.answer(jobs::order_result::accepted);
+    case event::accepted_unverified:
+        return it.answer(jobs::order_result::accepted, false);
     case event::refused:
         return it.answer(jobs::order_result::insufficient_capacity);
+    case event::refused_unverified:
+        return it.answer(jobs::order_result::insufficient_capacity, false);
+    case event::listed:
+        return it.report("w0", {{{"j", 0, 0, 0}, 1, "", 0}});
     case event::silent:
         return it.answer(jobs::order_result::unknown);
     case event::expired:
@@ -125,7 +134,22 @@
     const std::array cases = {
         lost_case{
             "answered", "plain", {event::accepted}, seconds(5), lease_life},
+        lost_case{"answered, perhaps by another incarnation",
+                  "plain",
+                  {event::accepted_unverified},
+                  earliest_elsewhere,
+                  latest_elsewhere},
+        lost_case{"the same, then listed",
+                  "plain",
+                  {event::accepted_unverified, event::listed},
+                  seconds(5),
+                  lease_life},
         lost_case{"refused", "plain", {event::refused}, seconds(0), seconds(1)},
+        lost_case{"refused, perhaps by another incarnation",
+                  "plain",
+                  {event::refused_unverified},
+                  seconds(0),
+                  seconds(1)},
         lost_case{"not answered",
                   "plain",
                   {event::silent},
@@ -357,3 +381,81 @@
     for (const auto& it : second)
         cr_assert_eq(it.task == tied.task, it.worker == tied.worker);
 }
+
+namespace
+{
+
+struct acknowledged_case
+{
+    const char* name;
+    std::vector<event> events;
+    /// Of a renewal that may reach another incarnation.
+    std::int64_t acknowledged;
+};
+
+} // namespace
+
+// Guards against a renewal that makes another incarnation than was meant forget
+// ends of orders which nobody has read (TWICE).
+Test(outstanding_orders, keep_ends_of_an_unverified_incarnation)
+{
+    const std::array cases = {
+        acknowledged_case{"in flight", {}, 0},
+        acknowledged_case{"answered", {event::accepted}, 7},
+        acknowledged_case{"answered, perhaps by another incarnation",
+                          {event::accepted_unverified},
+                          0},
+        acknowledged_case{"the same, then listed",
+                          {event::accepted_unverified, event::listed},
+                          7},
+        acknowledged_case{"given up", {event::expired}, 0},
+    };
+    for (const auto& it : cases)
+    {
+        cell it_cell;
+        const jobs::ended_run end{
+            7, {"gone", 0, 0, 0}, 1, jobs::run_outcome::done, ""};
+        it_cell.report("w0", {}, {end});
+        for (const auto what : it.events)
+            play(it_cell, what);
+        cr_assert_eq(it_cell.plan.acknowledged_end("w0"), 7, "%s", it.name);
+        cr_assert_eq(it_cell.plan.acknowledged_unverified("w0"),
+                     it.acknowledged, "%s", it.name);
+    }
+}
+
+struct unverified_report_case
+{
+    const char* name;
+    bool is_verified;
+    milliseconds earliest;
+    milliseconds latest;
+};
+
+// Guards against a run that a call to the former incarnation keeps alive in the
+// next one, which has reported before any call has made earlier ones void
+// (TWICE).
+Test(outstanding_orders, of_an_unverified_incarnation_may_lengthen_its_lease)
+{
+    const std::array cases = {
+        unverified_report_case{"verified", true, seconds(5), lease_life},
+        unverified_report_case{"not verified", false, earliest_elsewhere,
+                               latest_elsewhere},
+    };
+    for (const auto& it : cases)
+    {
+        cell it_cell;
+        it_cell.answer(jobs::order_result::accepted, it.is_verified);
+        jobs::worker_report report;
+        report.clock_ms = it_cell.worker_clock();
+        report.incarnation_start_ms = incarnation_start + 1;
+        report.running = {{it_cell.order.task, it_cell.order.run, "", 0}};
+        report.is_verified = it.is_verified;
+        it_cell.plan.worker_reported("w0", report);
+        it_cell.plan.worker_unresponsive("w0");
+        const auto after = it_cell.elsewhere_after(seconds(30));
+        cr_assert(after.has_value(), "%s", it.name);
+        cr_assert_geq(after->count(), it.earliest.count(), "%s", it.name);
+        cr_assert_leq(after->count(), it.latest.count(), "%s", it.name);
+    }
+}
--- a/src/mustardwick/dispatch/planner_orders.cpp
+++ b/src/mustardwick/dispatch/planner_orders.cpp
@@ -47,15 +47,23 @@
             : reply.result;
     const run_key key{order.task, order.run};
     const auto it = host.runs.find(key);
-    if (it != host.runs.end() && result != order_result::unknown)
+    // Another incarnation may have accepted it, which the next report tells.
+    const bool is_settled =
+        result != order_result::unknown &&
+        (reply.is_verified || result != order_result::accepted);
+    if (it != host.runs.end() && is_settled)
         it->second.outstanding_until.reset();
+    const bool has_clock =
+        reply.clock_ms != 0 && reply.result != order_result::other_incarnation;
+    if (has_clock && !reply.is_verified)
+        host.lease_bound = std::max(host.lease_bound, longest_lease_from_now());
     // What a former incarnation replied says nothing about the present one,
     // which was sent a stop of each run that it does not list.
     if (order.worker_incarnation_start_ms != host.incarnation_start_ms)
         return;
     log_unexpected_clock(host, order, reply);
     // Another worker at the address answers with its own clock.
-    if (reply.clock_ms != 0 && reply.result != order_result::other_incarnation)
+    if (has_clock && reply.is_verified)
     {
         count_granted_lease(host, order.deadline_ms - reply.clock_ms);
         update_clock(host, reply.clock_ms);
@@ -123,7 +131,8 @@
     if (found == hosts_.end() || reply.result != jobs::order_result::accepted ||
         order.worker_incarnation_start_ms != found->second.incarnation_start_ms)
         return;
-    update_clock(found->second, reply.clock_ms);
+    if (reply.is_verified)
+        update_clock(found->second, reply.clock_ms);
     const auto it = found->second.runs.find({order.task, order.run});
     if (it != found->second.runs.end())
         it->second.stopped_clock_ms = reply.clock_ms;
--- a/src/mustardwick/dispatch/planner_outstanding.cpp
+++ b/src/mustardwick/dispatch/planner_outstanding.cpp
@@ -17,11 +17,13 @@
 
 } // namespace
 
-void planner::keep_outstanding_order(const host_state& host, const running& it)
+void planner::keep_outstanding_order(host_state& host, const running& it)
 {
     auto* step = find_step(it.task);
     if (!it.outstanding_until || step == nullptr)
         return;
+    host.lost_orders_until =
+        std::max(host.lost_orders_until, *it.outstanding_until);
     add_outstanding_order(
         *step, it.task.index,
         {host.index, *it.outstanding_until, it.stored_in, false});
@@ -176,6 +178,18 @@
     return !lacks_capacity;
 }
 
+std::int64_t planner::acknowledged_unverified(const std::string& id) const
+{
+    const auto found = hosts_.find(id);
+    if (found == hosts_.end() ||
+        clock_.now() <= found->second.lost_orders_until)
+        return 0;
+    for (const auto& [key, it] : found->second.runs)
+        if (it.outstanding_until)
+            return 0;
+    return acknowledged_end(id);
+}
+
 planner::time_point planner::latest_end(const host_state& host,
                                         const running& it)
 {
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -391,6 +391,10 @@
     // Calls that were meant for the former incarnation may have reached this
     // one before it was asked for the report, with deadlines of another clock.
     host.lease_bound = std::max(host.lease_bound, longest_lease_from_now());
+    // Calls that were sent before are not void.
+    if (!report.is_verified)
+        host.lease_bound =
+            std::max(host.lease_bound, host.calls_until + longest_lease());
     host.stored_lease_end_ms.reset();
     std::set<run_key> listed;
     for (const auto& it : report.running)
--- a/src/mustardwick/entry/worker_links.cpp
+++ b/src/mustardwick/entry/worker_links.cpp
@@ -118,12 +118,15 @@
     auto& it = links_.at(id);
     if (!on_.has_authority())
         return renew_after(it, no_authority_delay);
-    if (planner_.has_uncommitted_ends(id) && it.deferrals < max_deferrals)
+    const bool awaits_ends =
+        planner_.has_uncommitted_ends(id) || it.withheld_ends;
+    if (awaits_ends && it.deferrals < max_deferrals)
     {
         ++it.deferrals;
         return renew_after(it, renewal_delay);
     }
     it.deferrals = 0;
+    it.withheld_ends = false;
     ++it.generation;
     platform::lease_renewal renewal;
     // The first answer is needed immediately, to learn the worker's clock.
@@ -136,6 +139,10 @@
     {
         renewal.incarnation_start_ms = host->second.incarnation_start_ms;
         renewal.acknowledged_end = planner_.acknowledged_end(id);
+        renewal.acknowledged_unverified = [self = shared_from_this(), id]
+        {
+            return self->acknowledge_unverified(id);
+        };
         renewal.deadline_ms = planner_.lease_deadline(id);
         if (renewal.deadline_ms)
             renewal.wait = max_renewal_wait;
@@ -149,6 +156,16 @@
                      });
 }
 
+std::int64_t worker_links::acknowledge_unverified(const std::string& id)
+{
+    const auto found = links_.find(id);
+    if (found == links_.end())
+        return 0;
+    const auto out = planner_.acknowledged_unverified(id);
+    found->second.withheld_ends = out != planner_.acknowledged_end(id);
+    return out;
+}
+
 void worker_links::renewed(const std::string& id, std::uint64_t generation,
                            platform::renewal_reply reply)
 {
@@ -166,6 +183,7 @@
     if (reply.report)
     {
         it.failures = 0;
+        it.withheld_ends = it.withheld_ends && !reply.report->ended.empty();
         const auto host = planner_.hosts().find(id);
         const bool first =
             host == planner_.hosts().end() || !host->second.adopted;
--- a/src/mustardwick/entry/worker_links_test.cpp
+++ b/src/mustardwick/entry/worker_links_test.cpp
@@ -123,6 +123,12 @@
         cr_assert(listener_.start(), "%s", base::last_error().text().c_str());
     }
 
+    /// From now on each answer closes its connection.
+    void close_connections()
+    {
+        listener_.begin_drain();
+    }
+
     void start_again()
     {
         ++incarnation_;
@@ -268,6 +274,15 @@
     std::uint16_t port;
 };
 
+struct connection_case
+{
+    const char* name;
+    bool closes;
+    std::uint16_t port;
+    /// With the identifications of connections.
+    std::size_t calls;
+};
+
 struct path_case
 {
     const char* name;
@@ -508,3 +523,40 @@
     links->stop();
     io.run_for(milliseconds(10));
 }
+
+// Guards against a worker that closes its connection after each answer and gets
+// no work, and against more calls to one that keeps its connections.
+Test(worker_links, give_work_to_a_worker_that_closes_its_connections)
+{
+    const connection_case cases[] = {
+        {"keeps", false, 27501, 4},
+        {"closes", true, 27503, 4},
+    };
+    for (const auto& it : cases)
+    {
+        planner_fixture cell(1);
+        boost::asio::io_context io;
+        restarting_worker worker(io, it.port);
+        if (it.closes)
+            worker.close_connections();
+        const auto links = make_links(io, cell);
+        cell.plan.worker_listed(worker.info());
+        links->listed(worker.info());
+        io.run_for(milliseconds(200));
+        cell.submit(make_job("j", "plain", {make_step(1, 1)}));
+        const auto order = cell.round().starts.at(0);
+        links->deliver({{order}, {}, {}});
+        io.run_for(milliseconds(300));
+        cr_expect_eq(worker.count("/v1/run-start", worker.incarnation()), 1,
+                     "%s", it.name);
+        cr_expect_eq(worker.calls.size(), it.calls, "%s: %zu", it.name,
+                     worker.calls.size());
+        const auto& runs = cell.plan.hosts().at("w0").runs;
+        cr_assert_eq(runs.size(), 1, "%s", it.name);
+        // The run may be one of another incarnation until a report lists it.
+        cr_expect_eq(runs.begin()->second.outstanding_until.has_value(),
+                     it.closes, "%s", it.name);
+        links->stop();
+        io.run_for(milliseconds(10));
+    }
+}
