--- a/testing/soak/case_runner.py
+++ b/testing/soak/case_runner.py
@@ -17,8 +17,8 @@
 
 
 def main(description, cases, first_seed, make_cell):
-    """make_cell(program, folder, seed) returns a cell; its run(case) returns
-    what went wrong. Each case has a seed of its own."""
+    """make_cell(program, folder, seed, case) returns a cell; its run(case)
+    returns what went wrong. Each case has a seed of its own."""
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--program", required=True, help="path of mustardwickd")
     parser.add_argument("--case", required=True, choices=cases)
@@ -30,7 +30,8 @@
         folder = pathlib.Path(options.keep or temporary)
         folder.mkdir(parents=True, exist_ok=True)
         failures = asyncio.run(run_case(
-            lambda: make_cell(options.program, folder, seed),
+            lambda: make_cell(options.program, folder, seed,
+                              cases[options.case]),
             cases[options.case]))
     for it in failures:
         print("FAILED", it)
--- a/testing/soak/given_up_test.py
+++ b/testing/soak/given_up_test.py
@@ -160,4 +160,6 @@
 
 
 if __name__ == "__main__":
-    case_runner.main(__doc__, CASES, FIRST_SEED, Cell)
+    case_runner.main(
+        __doc__, CASES, FIRST_SEED,
+        lambda program, folder, seed, _: Cell(program, folder, seed))
--- a/testing/soak/restarted_worker_test.py
+++ b/testing/soak/restarted_worker_test.py
@@ -131,10 +131,12 @@
 
 
 class RestartCell(Cell):
+    worker_type = RestartingWorker
+
     def __init__(self, program, folder, seed):
         super().__init__(program, folder, seed, WORKERS)
         self.workers = [
-            RestartingWorker(f"w-{number}", HOST, it.port,
+            self.worker_type(f"w-{number}", HOST, it.port,
                              ZONES[number % len(ZONES)], self.promises,
                              self.store)
             for number, it in enumerate(self.workers)]
@@ -323,4 +325,6 @@
 
 
 if __name__ == "__main__":
-    case_runner.main(__doc__, CASES, FIRST_SEED, RestartCell)
+    case_runner.main(
+        __doc__, CASES, FIRST_SEED,
+        lambda program, folder, seed, _: RestartCell(program, folder, seed))
