--- a/src/mustardwick/entry/leader_candidate.cpp
+++ b/src/mustardwick/entry/leader_candidate.cpp
@@ -92,7 +92,6 @@
     if (refused_epoch_ == epoch)
         return;
     refused_epoch_ = epoch;
-    last_heartbeat_ = {};
     next_read_ = {};
     if (succession_tier_ > 0)
         next_read_ = clock_.now() + succession_delay();
@@ -119,6 +118,7 @@
     paused_ = paused;
     observed_version_.reset();
     last_heartbeat_ = clock_.now();
+    refused_epoch_ = 0;
     taking_over_ = false;
 }
 
@@ -127,8 +127,9 @@
     if (stopped_)
         return;
     const auto now = clock_.now();
-    if (!paused_ && !call_open_ && now - last_heartbeat_ >= watch_delay &&
-        now >= next_read_)
+    const bool watches =
+        refused_epoch_ != 0 || now - last_heartbeat_ >= watch_delay;
+    if (!paused_ && !call_open_ && watches && now >= next_read_)
         read_head();
     timer_.expires_after(tick_interval);
     timer_.async_wait(
@@ -198,8 +199,9 @@
     if (now - read_started_ > slow_read)
         wait = takeover_delay_when_slow;
     wait += succession_delay();
-    if (now - observed_since_ >= wait &&
-        now - last_heartbeat_ >= leader_timeout)
+    // The refusal may come from the host of a former leader.
+    const bool is_silent = refused || now - last_heartbeat_ >= leader_timeout;
+    if (is_silent && now - observed_since_ >= wait)
         acquire(jobs::next_epoch(head->epoch), it->version);
 }
 
--- a/src/mustardwick/entry/leader_candidate_test.cpp
+++ b/src/mustardwick/entry/leader_candidate_test.cpp
@@ -29,6 +29,7 @@
               leader_candidate::events{[this](head_record record, std::int64_t)
                                        {
                                            head = std::move(record);
+                                           acquired_at = clock.now();
                                        },
                                        [](const head_record&) {},
                                        [this]
@@ -57,6 +58,7 @@
 
     bool configured = true;
     std::optional<head_record> head;
+    base::steady_time acquired_at;
     std::shared_ptr<leader_candidate> candidate;
 };
 
@@ -103,6 +105,8 @@
     /// The leader renews the head row as rarely as an idle leader does.
     bool renews;
     std::uint16_t port;
+    milliseconds window;
+    /// Whether the candidate acquires leadership within the window.
     bool acquired;
 };
 
@@ -113,12 +117,16 @@
 // reach each other).
 Test(leader_candidate, replaces_a_refusing_leader_unless_it_renews)
 {
-    const std::array cases = {refused_case{7, false, 27423, true},
-                              refused_case{6, false, 27424, false},
-                              refused_case{7, true, 27428, false}};
+    const std::array cases = {
+        refused_case{7, false, 27423, milliseconds(500), true},
+        // A leader whose host does not refuse connections is replaced after
+        // 600 ms without a heartbeat.
+        refused_case{6, false, 27424, milliseconds(590), false},
+        refused_case{7, true, 27428, milliseconds(2000), false}};
     for (const auto& it : cases)
     {
         candidate_fixture cell(it.port, head_of_another(7));
+        const auto heartbeat = cell.clock.now();
         cell.candidate->heartbeat_received(0);
         cell.candidate->start();
         cell.candidate->leader_connection_refused(it.refused_epoch);
@@ -136,8 +144,13 @@
         };
         if (it.renews)
             renew();
-        cr_assert_eq(cell.acquires_within(milliseconds(it.renews ? 2000 : 500)),
-                     it.acquired);
+        const bool acquired = cell.acquires_within(it.window);
+        // However late this process runs, a candidate that may not replace the
+        // leader waits for the whole window from the heartbeat on.
+        const bool too_early =
+            cell.head && cell.acquired_at < heartbeat + it.window;
+        cr_assert(it.acquired ? acquired : !too_early, "refused epoch %d",
+                  int(it.refused_epoch));
         if (cell.head)
             cr_assert_eq(cell.head->epoch, jobs::next_epoch(7));
     }
