--- a/include/mustardwick/dispatch/accepted_queues.hpp
+++ b/include/mustardwick/dispatch/accepted_queues.hpp
@@ -31,6 +31,10 @@
         bool is_configured = false;
         /// The last call of retain() found no need for it.
         bool is_unused = false;
+        /// Its terms are stored, or about to be: a job needs them.
+        bool has_row = false;
+        /// The last call of retain() found no job that uses it.
+        bool is_idle = false;
     };
     using renamed_keys = std::vector<std::pair<std::string, std::string>>;
 
@@ -42,27 +46,33 @@
     /// key of each queue whose key names another queue now.
     renamed_keys configure(const jobs::configuration& value);
 
+    /// @brief Lets the terms of a queue be stored: it has a job. A new leader
+    /// reads all rows before it leads, so that other queues have none.
+    void use(std::string_view key);
+
     /// @brief Removes the entries that two calls in a row have found neither
     /// used nor configured: a job that was submitted under the former
-    /// configuration may arrive late. Returns whether there were any.
+    /// configuration may arrive late. Removes the rows of those that two calls
+    /// have found without jobs. Returns whether entries were removed.
     bool retain(const std::set<std::string, std::less<>>& used);
 
     /// @brief Returns an entry; null for an unknown key. It is valid until the
     /// next change.
     const entry* find(std::string_view key) const;
 
-    /// @brief Returns the keys that were added, changed or removed since the
-    /// last call.
+    /// @brief Returns the keys whose rows were added, changed or removed since
+    /// the last call.
     std::set<std::string> take_changes()
     {
         return std::exchange(changed_, {});
     }
 
-    /// @brief Lets take_changes() return all keys.
+    /// @brief Lets take_changes() return the keys of all rows.
     void mark_all_changed()
     {
         for (const auto& [key, value] : entries_)
-            changed_.insert(key);
+            if (value.has_row)
+                changed_.insert(key);
     }
 
 private:
--- a/src/mustardwick/dispatch/accepted_queues.cpp
+++ b/src/mustardwick/dispatch/accepted_queues.cpp
@@ -64,7 +64,9 @@
     entries_.clear();
     changed_.clear();
     for (const auto& [key, terms] : stored)
-        entries_.emplace(key, entry{terms, false, false});
+        entries_.emplace(
+            key,
+            entry{.terms = terms, .is_configured = false, .has_row = true});
 }
 
 accepted_queues::renamed_keys
@@ -78,7 +80,8 @@
         if (successor == nullptr || *successor == it.terms)
             continue;
         it.terms = *successor;
-        changed_.insert(key);
+        if (it.has_row)
+            changed_.insert(key);
     }
     renamed_keys renamed;
     for (const auto& [name, queue] : value.queues)
@@ -90,17 +93,27 @@
         {
             auto alias = unused_alias(name, value.version);
             auto node = entries_.extract(known);
+            if (node.mapped().has_row)
+                changed_.insert({name, alias});
             node.key() = alias;
             entries_.insert(std::move(node));
-            changed_.insert(alias);
             renamed.emplace_back(name, std::move(alias));
         }
-        entries_.emplace(name, entry{queue, true, false});
-        changed_.insert(name);
+        entries_.emplace(name, entry{.terms = queue, .is_configured = true});
     }
     return renamed;
 }
 
+void accepted_queues::use(std::string_view key)
+{
+    const auto it = entries_.find(key);
+    if (it == entries_.end())
+        return;
+    it->second.is_idle = false;
+    if (!std::exchange(it->second.has_row, true))
+        changed_.insert(it->first);
+}
+
 std::string accepted_queues::unused_alias(const std::string& key,
                                           std::int64_t version) const
 {
@@ -117,12 +130,18 @@
     {
         auto& [key, value] = *it;
         // The entry under the name of a configured queue serves its next jobs.
-        const bool needed = used.contains(key) ||
-                            (value.is_configured && value.terms.name == key);
+        const bool has_jobs = used.contains(key);
+        const bool needed =
+            has_jobs || (value.is_configured && value.terms.name == key);
         const bool drops = !needed && value.is_unused;
+        const bool loses_row = !has_jobs && value.is_idle && value.has_row;
         value.is_unused = !needed;
-        if (drops)
+        value.is_idle = !has_jobs;
+        if (loses_row)
+        {
+            value.has_row = false;
             changed_.insert(key);
+        }
         it = drops ? entries_.erase(it) : std::next(it);
     }
     return entries_.size() < before;
--- a/src/mustardwick/dispatch/accepted_queues_test.cpp
+++ b/src/mustardwick/dispatch/accepted_queues_test.cpp
@@ -1,5 +1,6 @@
 #include "mustardwick/dispatch/accepted_queues.hpp"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 
@@ -159,6 +160,15 @@
 
 using stored_rows = std::map<std::pair<row_kind, std::string>, std::string>;
 
+std::ptrdiff_t stored_queues(const stored_rows& rows)
+{
+    return std::count_if(rows.begin(), rows.end(),
+                         [](const auto& it)
+                         {
+                             return it.first.first == row_kind::queue;
+                         });
+}
+
 /// A planner whose rows are kept, with workers of two services.
 struct queue_cell : planner_fixture
 {
@@ -288,9 +298,97 @@
         cell.place();
     }
     cr_assert_not(rows.contains({row_kind::queue, "q"}));
+    cell.plan.submit(make_job("next", "r", {make_step(1, 1)}), [] {});
+    cell.store(100);
     cr_assert(rows.contains({row_kind::queue, "r"}));
 }
 
+// Guards against a leader that reads a row for each configured queue before it
+// leads: 1 MB for 4,000 queues, 10 s at 115 kB/s, while 216 jobs had 0.1 MB.
+Test(accepted_queues, are_stored_only_with_open_jobs)
+{
+    std::vector<jobs::queue> queues;
+    for (int it = 0; it < 4000; ++it)
+    {
+        const auto name = "q-" + std::to_string(it);
+        queues.push_back(queue_at(name, "/" + name + "/", "s"));
+    }
+    stored_rows rows;
+    queue_cell cell(rows);
+    cell.load(with_queues(queues));
+    cell.store(100);
+    cr_assert_eq(stored_queues(rows), 0);
+    cell.plan.submit(make_job("j", "q-7", {make_step(1, 1)}), [] {});
+    cell.plan.submit(make_job("k", "q-8", {make_step(1, 1)}), [] {});
+    while (!rows.contains({row_kind::job, "k"}))
+    {
+        cell.store(1);
+        // A successor needs the terms of each job that it finds.
+        const bool has_job = rows.contains({row_kind::job, "j"}) ||
+                             rows.contains({row_kind::job, "k"});
+        cr_assert(!has_job || stored_queues(rows) == 2);
+    }
+    queues[9].attempts = 7;
+    cell.plan.set_configuration(with_queues(queues));
+    cell.store(100);
+    cr_assert_eq(stored_queues(rows), 2);
+    cr_assert(rows.contains({row_kind::queue, "q-7"}));
+    for (const auto& start : cell.place().starts)
+    {
+        cell.accept(start);
+        cell.end(start, start.task.job == "j" ? 1 : 2, jobs::run_outcome::done);
+    }
+    for (int it = 0; it < 3; ++it)
+    {
+        cell.clock.advance(std::chrono::seconds(6));
+        cell.place();
+    }
+    cr_assert_eq(stored_queues(rows), 0);
+}
+
+// Guards against a successor without the terms of a queue whose row was removed
+// before its next job.
+Test(accepted_queues, are_stored_again_for_the_next_job)
+{
+    stored_rows rows;
+    queue_cell cell(rows);
+    const auto present = with_queues({queue_at("q", "/q/", "s")});
+    cell.load(present);
+    cell.plan.submit(make_job("j", "q", {make_step(1, 1)}), [] {});
+    const auto starts = cell.place().starts;
+    cr_assert_eq(starts.size(), 1);
+    cell.accept(starts[0]);
+    cell.end(starts[0], 1, jobs::run_outcome::done);
+    for (int it = 0; it < 3; ++it)
+    {
+        cell.clock.advance(std::chrono::seconds(6));
+        cell.place();
+    }
+    cr_assert_not(rows.contains({row_kind::queue, "q"}));
+    cell.plan.submit(make_job("k", "q", {make_step(1, 1)}), [] {});
+    cell.store(100);
+    queue_cell second(rows);
+    second.load(with_queues({}));
+    const auto found = second.place().starts;
+    cr_assert_eq(found.size(), 1);
+    cr_assert_eq(found[0].worker, "w-s");
+}
+
+// Guards against a former queue's terms that stay under a name which another
+// queue without jobs has now: the next leader would take them for its own.
+Test(accepted_queues, leave_no_row_under_a_name_that_is_given_away)
+{
+    stored_rows rows;
+    queue_cell cell(rows);
+    cell.load(with_queues({queue_at("q", "/q/", "s")}));
+    cell.plan.submit(make_job("j", "q", {make_step(1, 1)}), [] {});
+    cell.store(100);
+    cell.plan.set_configuration(with_queues({queue_at("q", "/p/", "t")}));
+    cell.store(100);
+    cr_assert_not(rows.contains({row_kind::queue, "q"}));
+    cr_assert_eq(stored_queues(rows), 1);
+}
+
 // Guards against rows of queues that are lost with a transaction that the store
 // rejects.
 Test(accepted_queues, are_stored_again_after_a_rejection)
@@ -298,7 +396,10 @@
     stored_rows rows;
     queue_cell cell(rows);
     cell.load(with_queues({queue_at("q", "/q/", "s")}));
-    cr_assert_not(cell.plan.next_commit(96, 600'000).empty());
+    cell.plan.submit(make_job("j", "q", {make_step(1, 1)}), [] {});
+    const auto first = cell.plan.next_commit(96, 600'000);
+    cr_assert_eq(first.size(), 1);
+    cr_assert(first[0].kind == row_kind::queue);
     cell.plan.commit_rejected();
     cell.store(100);
     cr_assert_not(rows.contains({row_kind::queue, "q"}));
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -147,6 +147,7 @@
                  .share.take(job.arrived, account->second.weight);
     job.replies.push_back({std::move(done), std::move(on_refused)});
     active_[job.number] = &job;
+    queues_.use(job.specification.queue);
     if (job.specification.occurrences == 0)
         open_occurrence(job, 0);
     else
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -124,7 +124,11 @@
                                              std::size_t max_bytes)
 {
     std::vector<row_change> out;
-    if (committing_ || (dirty_.empty() && unfinished_.empty()))
+    if (committing_)
+        return out;
+    // A job's rows refer to the row of its queue.
+    store_queues({});
+    if (dirty_.empty() && unfinished_.empty())
         return out;
     std::vector<job_effects> batch;
     std::size_t bytes = 0;
--- a/src/mustardwick/dispatch/planner_queues.cpp
+++ b/src/mustardwick/dispatch/planner_queues.cpp
@@ -16,7 +16,8 @@
 row_change row_of(const accepted_queues& queues, const std::string& key)
 {
     row_change out{row_kind::queue, key, std::nullopt};
-    if (const auto* it = queues.find(key))
+    const auto* it = queues.find(key);
+    if (it != nullptr && it->has_row)
         out.value = wire::encode(it->terms);
     return out;
 }
@@ -40,6 +41,7 @@
     std::map<std::string_view, std::size_t> unrouted;
     for (const auto& [number, job] : active_)
     {
+        queues_.use(job->specification.queue);
         const auto* queue = queues_.find(job->specification.queue);
         if (queue != nullptr && !queue->is_configured)
             ++unrouted[queue->terms.name];
@@ -61,10 +63,8 @@
     };
     std::deque<row_change> aliases;
     for (const auto& [former, alias] : renamed)
-    {
-        aliases.push_back(row_of(queues_, alias));
-        changed.erase(alias);
-    }
+        if (changed.erase(alias) > 0)
+            aliases.push_back(row_of(queues_, alias));
     append(std::move(aliases));
     for (auto& [number, job] : active_)
         for (const auto& [former, alias] : renamed)
