Shorten the cases of restarted workers

Orders are answered for 1.5 s instead of 3 s before the first worker starts again, and two cases end 2 s after their late orders.

--- a/testing/soak/restarted_worker_test.py
+++ b/testing/soak/restarted_worker_test.py
@@ -19,6 +19,8 @@
 WORKERS = 9
 # Jobs are handed in at this interval, so that orders are under way at any time.
 INTERVAL_S = 0.05
+# Orders that are answered, before the first worker starts again.
+FIRST_ORDERS_S = 1.5
 # A task that ends while its worker is cut off, and one that outlasts the cut.
 RUN_S = (1.0, 30.0)
 LONG_RUN_S = (30.0,)
@@ -45,6 +47,8 @@
 LATEST_ORDER_S = 11.5
 # That bound, the longest lease, and the start of the task elsewhere.
 SETTLED_S = 21
+# Of cases in which the tasks have started elsewhere when late orders arrive.
+ELSEWHERE_S = 9.5
 # The clock of the next incarnation, against that of the former one.
 CLOCKS = {"behind": lambda now_ms: 0,
           "slightly ahead": lambda now_ms: now_ms + 500,
@@ -278,7 +282,7 @@
         await self.start()
         await self.wait_until_serving()
         handing_in = asyncio.ensure_future(self.hand_in_jobs(case))
-        await asyncio.sleep(3)
+        await asyncio.sleep(FIRST_ORDERS_S)
         missed = await asyncio.gather(*(self.play(case, it)
                                         for it in self.restarting))
         await handing_in
@@ -302,7 +306,7 @@
                           run_s=LONG_RUN_S, kills_leader=True),
     # The cut comes after the restart, which the leader has not noticed.
     "cut-before-noticed": Case(RestartCell.restart_before_a_cut,
-                               reaches_no_leader=False),
+                               watch_s=ELSEWHERE_S, reaches_no_leader=False),
     "orders-at-the-bound": Case(RestartCell.restart_behind_a_cut,
                                 LATEST_ORDER_S, SETTLED_S, LONG_RUN_S,
                                 is_settled=True),
@@ -317,7 +321,8 @@
     # The later run has ended.
     "expired-then-done": Case(RestartCell.expire_and_end, 3, watch_s=4,
                               run_s=SHORT_RUN_S),
-    "gang": Case(RestartCell.restart_behind_a_cut, run_s=LONG_RUN_S, count=2),
+    "gang": Case(RestartCell.restart_behind_a_cut, watch_s=ELSEWHERE_S,
+                 run_s=LONG_RUN_S, count=2),
 }
 
 
