Log orders that a successor has inherited as outstanding

run_lost said order_outstanding=0 when the order was given by a former leader, though its task was tied to the worker.

--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -224,7 +224,8 @@
          {"run", key.second},
          {"worker", host.info.id},
          {"reason", reason},
-         {"order_outstanding", int(it->second.outstanding_until.has_value())}});
+         {"order_outstanding", int(it->second.outstanding_until.has_value() ||
+                                   is_outstanding_on(key.first, host))}});
     const auto task = key.first;
     const auto run = key.second;
     const auto checkpoint = it->second.checkpoint;
