Keep the soak's ports apart from those of unit tests

unit.entry failed (6 cases, 'Address already in use' at 27417 to 27425) while process.restarted-worker-leader-killed ran, whose seed 87 gave it the ports from 27,400 on. The two ranges with fixed ports of unit tests are left out.

--- a/testing/soak/daemons.py
+++ b/testing/soak/daemons.py
@@ -32,12 +32,14 @@
     FIRST = 10_000
     PORTS_PER_RANGE = 200
     RANGES = 100
+    # Unit tests have fixed ports from 18,981 and from 27,411 on.
+    RANGES_OF_UNIT_TESTS = (44, 87)
 
     def __init__(self, seed):
         for it in range(self.RANGES):
-            first = (self.FIRST +
-                     (seed + it) % self.RANGES * self.PORTS_PER_RANGE)
-            if self.claim(first):
+            number = (seed + it) % self.RANGES
+            first = self.FIRST + number * self.PORTS_PER_RANGE
+            if number not in self.RANGES_OF_UNIT_TESTS and self.claim(first):
                 self.next = first
                 self.end = first + self.PORTS_PER_RANGE
                 return
