--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -219,13 +219,14 @@
     const auto it = host.runs.find(key);
     if (it == host.runs.end())
         return;
-    log_event(
-        log_level::info, "planner", "run_lost",
-        {{"task", to_string(key.first)},
-         {"run", key.second},
-         {"worker", host.info.id},
-         {"reason", reason},
-         {"order_outstanding", int(it->second.outstanding_until.has_value())}});
+    log_event(log_level::info, "planner", "run_lost",
+              {{"task", to_string(key.first)},
+               {"run", key.second},
+               {"worker", host.info.id},
+               {"reason", reason},
+               {"order_outstanding",
+                int(it->second.outstanding_until.has_value() ||
+                    outstanding_order_on(host, key.first) != nullptr)}});
     const auto task = key.first;
     const auto run = key.second;
     const auto checkpoint = it->second.checkpoint;
