--- a/testing/model/call_orders_test.cpp
+++ b/testing/model/call_orders_test.cpp
@@ -284,3 +284,23 @@
     }
     cr_assert_eq(failed, 0);
 }
+
+// Guards against a bound that counts the delay of an order from its release:
+// the call may wait for its connection before it is sent (TWICE).
+Test(late_starts, may_have_waited_for_a_connection)
+{
+    event_sequence sequence;
+    sequence.run_time = milliseconds(9000);
+    sequence.end = ending::cut;
+    sequence.events = {
+        fate_of(call_kind::identification, fate_kind::answered_slowly,
+                milliseconds(700)),
+        fate_of(call_kind::start, fate_kind::late, longest_delay),
+        after(action::pass, milliseconds(1200)), after(action::cut, short_time),
+        restart_with(clock_start::behind, short_time)};
+    call_orders_cell cell(sequence);
+    const auto broken = cell.play();
+    for (const auto& it : broken)
+        std::cerr << "broken: " << it << '\n';
+    cr_assert(broken.empty());
+}
