--- a/testing/model/call_orders_test.cpp
+++ b/testing/model/call_orders_test.cpp
@@ -237,7 +237,7 @@
             sequence_counts counts;
             counts.play("back after " + std::to_string(back.count()), sequence);
             cr_assert_eq(counts.failed, 0);
-    cr_assert_eq(counts.late_starts, 0);
+            cr_assert_eq(counts.late_starts, 0);
         }
 }
 
