--- a/src/mustardwick/dispatch/outstanding_orders_test.cpp
+++ b/src/mustardwick/dispatch/outstanding_orders_test.cpp
@@ -455,6 +455,33 @@
                   base::steady_time::duration(max_delay).count());
 }
 
+// Guards against a member of a gang that starts beside its earlier run, which
+// was started late and is still being stopped (TWICE).
+Test(outstanding_orders, of_a_gang_are_not_settled_while_the_run_is_stopped)
+{
+    planner_fixture gang(1);
+    gang.submit(make_job("g", "plain", {make_step(1, 1, true)}));
+    const auto first = gang.round().starts.at(0);
+    gang.plan.start_answered(first, {jobs::order_result::unknown, 0});
+    gang.clock.advance(seconds(2));
+    gang.report("w0");
+    gang.add_host("w1");
+    const jobs::running_run late{first.task, first.run, "", 0};
+    bool is_stopped = false;
+    for (int round = 0; round < 100; ++round)
+    {
+        gang.report("w0", {late}, {}, incarnation_start + 1);
+        const auto out = gang.round();
+        cr_assert(out.starts.empty());
+        is_stopped = is_stopped || !out.stops.empty();
+    }
+    cr_assert(is_stopped);
+    gang.report("w0", {},
+                {{1, first.task, first.run, jobs::run_outcome::stopped, ""}},
+                incarnation_start + 1);
+    cr_assert_eq(gang.round().starts.size(), 1);
+}
+
 // Guards against an account above its maximum (QUOTA) when orders that were not
 // answered are carried out late.
 Test(outstanding_orders, count_towards_the_maximum_of_the_account)
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -169,8 +169,10 @@
                                       {host.info.id, {}, stored_version_ + 1});
         }
     }
-    order_took_effect(host, listed.task, listed.run);
     auto& run = it->second;
+    // The task does not start again while the run is being stopped.
+    if (run.phase != run_phase::stopping)
+        order_took_effect(host, listed.task, listed.run);
     run.confirmed = true;
     run.outstanding_until.reset();
     run.listed_in = host.report;
