--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -21,6 +21,7 @@
 #include "mustardwick/dispatch/orders.hpp"
 #include "mustardwick/dispatch/progress_blocks.hpp"
 #include "mustardwick/dispatch/row_change.hpp"
+#include "mustardwick/dispatch/settled_orders.hpp"
 #include "mustardwick/dispatch/unfinished_change.hpp"
 #include "mustardwick/dispatch/worker_speed_rows.hpp"
 #include "mustardwick/jobs/configuration.hpp"
@@ -137,9 +138,8 @@
                  bool split = false,
                  std::map<std::string, std::string, std::less<>> blocks = {},
                  std::int64_t version = 0);
-    /// @brief Records that the effects of the orders of a former leader are
-    /// known whose assignments were stored before the given version.
-    void settle_inherited_orders(std::int64_t settled);
+    /// @brief Records which orders of former leaders are settled.
+    void settle_inherited_orders(const settled_orders& settled);
     /// @brief Restores the queues of the jobs that a former leader persisted;
     /// only then rows of queues are written.
     void restore_queues(const std::map<std::string, jobs::queue>& stored);
@@ -245,10 +245,11 @@
     void restore_lapsing_lease(const lapsing_lease& lease, time_point bound);
     /// @}
 
-    /// @brief Returns the lowest version of the rows whose orders may be
-    /// outstanding. A successor needs it: a task whose order may still be
-    /// carried out cannot start on another worker.
-    std::int64_t settled_version();
+    /// @brief Returns which orders are settled, for a successor: a task whose
+    /// order may still be carried out does not start again.
+    settled_orders settled() const;
+    /// @brief Forgets the outstanding orders that are settled by now.
+    void drop_settled_orders();
 
     /// @brief Returns the learned speeds of the listed workers, to be restored
     /// by a successor.
@@ -478,7 +479,7 @@
     /// ended, and can have none any more; `run` is the task's present run.
     bool is_settled(const jobs::task_key& task, int run,
                     const outstanding_order& order) const;
-    void drop_settled_orders(job_run& job, std::size_t position, int step);
+    void drop_settled_orders_of(job_run& job, std::size_t position, int step);
     /// @brief Returns whether waiting tasks of a step have outstanding orders.
     bool has_outstanding_orders(const ready_step& step);
     /// @brief Adds the waiting tasks of a job that may still be started to the
--- a/src/mustardwick/entry/cell_leader_load.cpp
+++ b/src/mustardwick/entry/cell_leader_load.cpp
@@ -98,8 +98,7 @@
     if (!stored)
         return log_event(log_level::warning, "leader", "orders_row_unreadable",
                          {{"reason", base::last_error().text()}});
-    if (jobs::next_epoch(stored->epoch) == head_.epoch)
-        planner_.settle_inherited_orders(stored->version);
+    planner_.settle_inherited_orders(*stored);
 }
 
 void cell_leader::add_settled_orders(durable::transaction& changes)
@@ -108,9 +107,11 @@
     if (!loaded_ || (now < next_settled_orders_ && !releasing_))
         return;
     next_settled_orders_ = now + settled_orders_interval;
+    planner_.drop_settled_orders();
+    auto settled = planner_.settled();
+    settled.epoch = head_.epoch;
     changes.writes.push_back({{cell_table, plan_partition, settled_orders_key},
-                              wire::encode(dispatch::settled_orders{
-                                  head_.epoch, planner_.settled_version()})});
+                              wire::encode(settled)});
 }
 
 void cell_leader::add_speeds(durable::transaction& changes)
