--- a/include/mustardwick/dispatch/accepted_queues.hpp
+++ b/include/mustardwick/dispatch/accepted_queues.hpp
@@ -60,6 +60,11 @@
     /// next change.
     const entry* find(std::string_view key) const;
 
+    bool has_changes() const
+    {
+        return !changed_.empty();
+    }
+
     /// @brief Returns the keys whose rows were added, changed or removed since
     /// the last call.
     std::set<std::string> take_changes()
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -459,8 +459,8 @@
     /// @brief Remembers the order of a run that is removed, if it is
     /// outstanding.
     void keep_outstanding_order(host_state& host, const running& it);
-    static void add_outstanding_order(step_run& step, int index,
-                                      const outstanding_order& order);
+    void add_outstanding_order(step_run& step, int index,
+                               const outstanding_order& order);
     /// @brief Returns the outstanding order of a task on a host, or nullptr.
     outstanding_order* outstanding_order_on(const host_state& host,
                                             const jobs::task_key& task);
@@ -712,6 +712,9 @@
     time_point latest_placement_;
     /// Version of the rows that were written last.
     std::int64_t stored_version_ = 0;
+    /// Cleared by drop_settled_orders(): most rounds need not look for them in
+    /// all jobs.
+    bool has_outstanding_orders_ = false;
     std::uint64_t next_number_ = 0;
     time_point created_;
     time_point next_sweep_;
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -128,7 +128,8 @@
     if (committing_)
         return out;
     // A job's rows refer to the row of its queue.
-    store_queues({});
+    if (queues_.has_changes())
+        store_queues({});
     if (dirty_.empty() && unfinished_.empty())
         return out;
     std::vector<job_effects> batch;
--- a/src/mustardwick/dispatch/planner_outstanding.cpp
+++ b/src/mustardwick/dispatch/planner_outstanding.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "mustardwick/dispatch/call_times.hpp"
 #include "mustardwick/dispatch/planner.hpp"
@@ -21,6 +22,7 @@
 void planner::add_outstanding_order(step_run& step, int index,
                                     const outstanding_order& order)
 {
+    has_outstanding_orders_ = true;
     const auto [it, added] = step.outstanding.emplace(index, order);
     if (added)
         return;
@@ -224,11 +226,18 @@
 
 void planner::drop_settled_orders()
 {
+    if (!std::exchange(has_outstanding_orders_, false))
+        return;
     for (const auto& [number, job] : active_)
         for (std::size_t at = 0; at < job->steps.size(); ++at)
             for (std::size_t step = 0; step < job->steps[at].size(); ++step)
-                if (!job->steps[at][step].outstanding.empty())
-                    drop_settled_orders_of(*job, at, int(step));
+            {
+                const auto& outstanding = job->steps[at][step].outstanding;
+                if (outstanding.empty())
+                    continue;
+                drop_settled_orders_of(*job, at, int(step));
+                has_outstanding_orders_ |= !outstanding.empty();
+            }
 }
 
 settled_orders planner::settled() const
@@ -245,6 +254,8 @@
         for (const auto& [key, it] : host.runs)
             if (it.outstanding_until)
                 add(key.first, it.stored_in);
+    if (!has_outstanding_orders_ && out.except.size() <= max_outstanding_tasks)
+        return out;
     for (const auto& [number, job] : active_)
         for (std::size_t at = 0; at < job->steps.size(); ++at)
             for (std::size_t step = 0; step < job->steps[at].size(); ++step)
@@ -264,20 +275,22 @@
 {
     const std::set<std::string> except(settled.except.begin(),
                                        settled.except.end());
-    for (const auto& [number, job] : active_)
-        for (std::size_t at = 0; at < job->steps.size(); ++at)
-            for (std::size_t step = 0; step < job->steps[at].size(); ++step)
-                std::erase_if(
-                    job->steps[at][step].outstanding,
-                    [&](const auto& it)
-                    {
-                        const jobs::task_key key{job->specification.id,
-                                                 job->record.open[at].number,
-                                                 int(step), it.first};
-                        return it.second.is_inherited &&
-                               it.second.stored_in < settled.version &&
-                               !except.contains(to_string(key));
-                    });
+    for (const auto& active : active_)
+        for (std::size_t at = 0; at < active.second->steps.size(); ++at)
+            for (std::size_t step = 0; step < active.second->steps[at].size();
+                 ++step)
+                std::erase_if(active.second->steps[at][step].outstanding,
+                              [&](const auto& it)
+                              {
+                                  const jobs::task_key key{
+                                      active.second->specification.id,
+                                      active.second->record.open[at].number,
+                                      int(step), it.first};
+                                  return it.second.is_inherited &&
+                                         it.second.stored_in <
+                                             settled.version &&
+                                         !except.contains(to_string(key));
+                              });
 }
 
 } // namespace mustardwick::dispatch
--- a/src/mustardwick/dispatch/planner_ready.cpp
+++ b/src/mustardwick/dispatch/planner_ready.cpp
@@ -169,7 +169,8 @@
             ++job.context.usage->waiting_surplus;
             ++round_.surplus_jobs;
         }
-        count_outstanding_orders(job);
+        if (has_outstanding_orders_)
+            count_outstanding_orders(job);
         if (is_parked(job))
         {
             ++round_.parked_jobs;
