--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -138,8 +138,10 @@
                  bool split = false,
                  std::map<std::string, std::string, std::less<>> blocks = {},
                  std::int64_t version = 0);
-    /// @brief Records which orders of former leaders are settled.
-    void settle_inherited_orders(const settled_orders& settled);
+    /// @brief Records which orders of former leaders are settled, and by when
+    /// others are.
+    void settle_inherited_orders(const settled_orders& settled,
+                                 const from_store_clock& from_store);
     /// @brief Restores the queues of the jobs that a former leader persisted;
     /// only then rows of queues are written.
     void restore_queues(const std::map<std::string, jobs::queue>& stored);
@@ -247,7 +249,7 @@
 
     /// @brief Returns which orders are settled, for a successor: a task whose
     /// order may still be carried out does not start again.
-    settled_orders settled() const;
+    settled_orders settled(const to_store_clock& to_store) const;
     /// @brief Forgets the outstanding orders that are settled by now.
     void drop_settled_orders();
 
--- a/include/mustardwick/dispatch/settled_orders.hpp
+++ b/include/mustardwick/dispatch/settled_orders.hpp
@@ -2,15 +2,35 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
+#include "mustardwick/base/clock.hpp"
+
 namespace mustardwick::dispatch
 {
 
+/// @brief Task of which an order may still be carried out.
+struct unsettled_task
+{
+    std::string task;
+    /// By when none can take effect any more, in milliseconds on the store's
+    /// clock, which all leaders read; std::nullopt before its first reading.
+    std::optional<std::int64_t> until_ms;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(task, until_ms);
+    }
+};
+
 /// @brief Value of the row that tells a successor which orders cannot take
 /// effect any more.
 ///
@@ -24,7 +44,7 @@
     /// lower version.
     std::int64_t version = 0;
     /// Tasks for which that does not hold.
-    std::vector<std::string> except;
+    std::vector<unsettled_task> except;
 
     template <typename Archive>
     void serialize(Archive& ar)
@@ -34,7 +54,14 @@
 };
 
 /// With more tasks the version is that of the oldest outstanding order. With
-/// these the row stays below 30,000 bytes.
+/// these the row stays below 35,000 bytes.
 inline constexpr std::size_t max_outstanding_tasks = 500;
 
+/// @brief Converts a time to the store's clock, or back; the result is not
+/// early, and std::nullopt before a first reading of that clock.
+using to_store_clock =
+    std::function<std::optional<std::int64_t>(base::steady_time)>;
+using from_store_clock =
+    std::function<std::optional<base::steady_time>(std::int64_t)>;
+
 } // namespace mustardwick::dispatch
--- a/src/mustardwick/dispatch/durable_state_test.cpp
+++ b/src/mustardwick/dispatch/durable_state_test.cpp
@@ -244,7 +244,7 @@
         task.worker_incarnation_start_ms = incarnation_start;
         record.open.push_back({0, {{task}}});
         cell.plan.restore(make_job("j", "plain", {make_step(1, 1)}), record);
-        cell.plan.settle_inherited_orders({0, 1, {}});
+        cell.settle({0, 1, {}});
         cr_assert(cell.round().starts.empty());
         cell.list_host("w9", "z", false);
         const jobs::task_key key{"j", 0, 0, 0};
@@ -354,7 +354,7 @@
     other.worker = "w9";
     record.open.push_back({0, {{task, other}}});
     cell.plan.restore(make_job("j", "plain", {make_step(2, 1, true)}), record);
-    cell.plan.settle_inherited_orders({0, 1, {}});
+    cell.settle({0, 1, {}});
     cell.list_host("w8", "z", false);
     cell.report(
         "w8", {},
--- a/src/mustardwick/dispatch/outstanding_orders_test.cpp
+++ b/src/mustardwick/dispatch/outstanding_orders_test.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds latest_again{16'500};
 constexpr milliseconds latest_elsewhere{20'500};
 constexpr milliseconds lease_life{6800};
+/// From the order until it takes no effect any more.
+constexpr milliseconds delivery_bound{12'800};
 
 /// One task on the first of two workers.
 struct cell : planner_fixture
@@ -266,7 +268,7 @@
         second.plan.restore(make_job("j", it.queue, {make_step(1, 1)}),
                             first.stored_record("j"), false, {}, first.version);
         if (it.reads_settled)
-            second.plan.settle_inherited_orders(first.plan.settled());
+            second.settle(first.settled());
         second.add_host("w1");
         const auto starts_within = [&](milliseconds time)
         {
@@ -499,6 +501,66 @@
     cr_assert_eq(cell.round().starts.size(), 1);
 }
 
+struct hand_over_case
+{
+    const char* name;
+    /// From the order to the next leader, and from each leader to the next.
+    std::vector<milliseconds> terms;
+};
+
+// Guards against leaders that each count anew how long an order may still be
+// carried out (LOST).
+Test(outstanding_orders, of_former_leaders_are_settled_as_soon_as_their_own)
+{
+    const std::array cases = {
+        hand_over_case{"one successor", {seconds(6)}},
+        hand_over_case{"a series",
+                       {seconds(2), seconds(3), seconds(3), seconds(3)}},
+        hand_over_case{"after the bound", {seconds(14)}},
+    };
+    for (const auto& it : cases)
+    {
+        cell first;
+        first.answer(jobs::order_result::unknown);
+        planner_fixture* leader = &first;
+        std::vector<std::unique_ptr<planner_fixture>> successors;
+        const auto runs_within = [&](milliseconds time)
+        {
+            for (const auto until = leader->clock.now() + time;
+                 leader->clock.now() < until;)
+            {
+                for (const auto* id : {"w0", "w1"})
+                    leader->report(id);
+                if (!leader->round().starts.empty())
+                    return true;
+            }
+            return false;
+        };
+        auto elapsed = std::chrono::duration_cast<milliseconds>(first.ordered -
+                                                                first.created);
+        const auto ordered = elapsed;
+        for (const auto term : it.terms)
+        {
+            if (term < delivery_bound)
+                cr_assert_not(runs_within(term), "%s", it.name);
+            leader->plan.drop_settled_orders();
+            const auto settled = leader->settled();
+            elapsed += term;
+            auto next = std::make_unique<planner_fixture>(2);
+            next->store_start = elapsed;
+            next->plan.restore(make_job("j", "plain", {make_step(1, 1)}),
+                               first.stored_record("j"), false, {},
+                               first.version);
+            next->settle(settled);
+            leader = successors.emplace_back(std::move(next)).get();
+        }
+        const auto left = delivery_bound - (elapsed - ordered);
+        if (left > milliseconds(0))
+            cr_assert_not(runs_within(left), "%s: too early", it.name);
+        cr_assert(runs_within(seconds(5)), "%s: too late", it.name);
+    }
+}
+
 // Guards against a successor that lets all tasks of a lost worker wait because
 // of one order without an answer (LOST).
 Test(outstanding_orders, of_a_former_leader_delay_no_other_task)
@@ -517,7 +579,7 @@
     for (const auto& it : {"j", "k"})
         second.plan.restore(make_job(it, "plain", {make_step(1, 1)}),
                             first.stored_record(it), false, {}, first.version);
-    second.plan.settle_inherited_orders(first.plan.settled());
+    second.settle(first.settled());
     second.add_host("w1");
     std::vector<start_order> starts;
     const auto began = second.clock.now();
@@ -538,12 +600,12 @@
 {
     cell it;
     it.answer(jobs::order_result::unknown);
-    cr_assert_eq(it.plan.settled().except.size(), 1);
+    cr_assert_eq(it.settled().except.size(), 1);
     it.report("w0", {}, {{1, it.order.task, 1, jobs::run_outcome::done, ""}});
     it.commit();
     it.plan.drop_settled_orders();
-    cr_assert(it.plan.settled().except.empty());
-    cr_assert_eq(it.plan.settled().version, it.version + 1);
+    cr_assert(it.settled().except.empty());
+    cr_assert_eq(it.settled().version, it.version + 1);
 }
 
 // Guards against a task that waits although its run is known to have failed: a
@@ -649,10 +711,13 @@
     std::int64_t newest = 0;
     for (const auto& [key, version] : versions)
         newest = std::max(newest, version);
-    const auto settled = cell.plan.settled();
+    const auto settled = cell.settled();
     cr_assert(settled.version <= newest ||
-              std::count(settled.except.begin(), settled.except.end(),
-                         to_string(starts[0].task)) == 1);
+              std::count_if(settled.except.begin(), settled.except.end(),
+                            [&](const auto& it)
+                            {
+                                return it.task == to_string(starts[0].task);
+                            }) == 1);
 }
 
 namespace
--- a/src/mustardwick/dispatch/planner_fixture_test.hpp
+++ b/src/mustardwick/dispatch/planner_fixture_test.hpp
@@ -203,9 +203,32 @@
                {{number, order.task, order.run, how, "saved"}});
     }
 
+    settled_orders settled() const
+    {
+        return plan.settled(
+            [this](base::steady_time time)
+            {
+                const auto age = time - created + store_start;
+                return std::chrono::ceil<milliseconds>(age).count();
+            });
+    }
+
+    void settle(const settled_orders& settled)
+    {
+        plan.settle_inherited_orders(
+            settled,
+            [this](std::int64_t time_ms)
+            {
+                return created + milliseconds(time_ms) - store_start;
+            });
+    }
+
     base::manual_clock clock;
     base::metrics metrics;
     planner plan;
+    base::steady_time created = clock.now();
+    /// Of this leader, on the store's clock.
+    milliseconds store_start{0};
     /// Rows of the store, and the version of its last transaction.
     std::map<std::pair<row_kind, std::string>, std::string> stored;
     std::int64_t version = 0;
--- a/src/mustardwick/dispatch/planner_leases_test.cpp
+++ b/src/mustardwick/dispatch/planner_leases_test.cpp
@@ -75,6 +75,24 @@
                 clock.now(), hands_over};
     }
 
+    settled_orders settled() const
+    {
+        return plan.settled(
+            [this](base::steady_time time)
+            {
+                return store.to_store(time);
+            });
+    }
+
+    void settle(const settled_orders& settled)
+    {
+        plan.settle_inherited_orders(settled,
+                                     [this](std::int64_t time_ms)
+                                     {
+                                         return store.from_store(time_ms);
+                                     });
+    }
+
     /// Stores the lapsing leases if they have changed.
     void commit(bool hands_over = false)
     {
@@ -92,7 +110,7 @@
     {
         plan.restore(make_job("j", "plain", {make_step(1, 1)}),
                      running_record("w0"));
-        plan.settle_inherited_orders({0, 1, {}});
+        settle({0, 1, {}});
         storing();
         for (const auto& it : leases)
             plan.restore_lapsing_lease(it, *store.from_store(it.end_ms));
@@ -177,7 +195,7 @@
             cr_assert_not(current->starts_within(term), "%s", it.name);
             current->commit(it.hands_over);
             stored = current->stored;
-            const auto settled = current->plan.settled();
+            const auto settled = current->settled();
             passed += term;
             successors.push_back(std::make_unique<leader>(passed));
             current = successors.back().get();
@@ -186,7 +204,7 @@
             auto record = running_record(lost);
             current->plan.restore(make_job("j", "plain", {make_step(1, 1)}),
                                   record);
-            current->plan.settle_inherited_orders(settled);
+            current->settle(settled);
             current->storing();
             for (const auto& lease : stored)
                 current->plan.restore_lapsing_lease(
@@ -250,7 +268,7 @@
         {
             second.plan.restore(make_job("j", "plain", {make_step(1, 1)}),
                                 running_record("w0"));
-            second.plan.settle_inherited_orders(first.plan.settled());
+            second.settle(first.settled());
             second.report("w0", {run});
             cr_assert(second.plan.lease_deadline("w0").has_value());
             second.storing();
--- a/src/mustardwick/dispatch/planner_outstanding.cpp
+++ b/src/mustardwick/dispatch/planner_outstanding.cpp
@@ -8,6 +8,29 @@
 namespace mustardwick::dispatch
 {
 
+namespace
+{
+
+/// Calls visit(job, position, step) for each step with outstanding orders.
+template <typename Jobs, typename Visit>
+void for_each_outstanding_step(const Jobs& jobs, Visit visit)
+{
+    for (const auto& [number, job] : jobs)
+        for (std::size_t at = 0; at < job->steps.size(); ++at)
+            for (std::size_t step = 0; step < job->steps[at].size(); ++step)
+                if (!job->steps[at][step].outstanding.empty())
+                    visit(*job, at, int(step));
+}
+
+jobs::task_key key_of(const job_run& job, std::size_t position, int step,
+                      int index)
+{
+    return {job.specification.id, job.record.open[position].number, step,
+            index};
+}
+
+} // namespace
+
 void planner::keep_outstanding_order(host_state& host, const running& it)
 {
     auto* step = find_step(it.task);
@@ -105,7 +128,7 @@
             const bool settled =
                 record.state == jobs::task_state::done ||
                 had_ticket(job, it.second) ||
-                is_settled({job.specification.id, open.number, step, it.first},
+                is_settled(key_of(job, position, step, it.first),
                            is_waiting ? no_run : record.run, it.second);
             if (settled && is_waiting)
                 record.worker.clear();
@@ -228,69 +251,82 @@
 {
     if (!std::exchange(has_outstanding_orders_, false))
         return;
-    for (const auto& [number, job] : active_)
-        for (std::size_t at = 0; at < job->steps.size(); ++at)
-            for (std::size_t step = 0; step < job->steps[at].size(); ++step)
-            {
-                const auto& outstanding = job->steps[at][step].outstanding;
-                if (outstanding.empty())
-                    continue;
-                drop_settled_orders_of(*job, at, int(step));
-                has_outstanding_orders_ |= !outstanding.empty();
-            }
+    for_each_outstanding_step(
+        active_,
+        [&](job_run& job, std::size_t at, int step)
+        {
+            drop_settled_orders_of(job, at, step);
+            has_outstanding_orders_ |=
+                !job.steps[at][std::size_t(step)].outstanding.empty();
+        });
 }
 
-settled_orders planner::settled() const
+settled_orders planner::settled(const to_store_clock& to_store) const
 {
     settled_orders out;
     out.version = stored_version_ + 1;
     auto oldest = out.version;
-    const auto add = [&](const jobs::task_key& task, std::int64_t stored_in)
+    std::map<jobs::task_key, time_point> until;
+    const auto add =
+        [&](const jobs::task_key& task, time_point time, std::int64_t stored_in)
     {
         oldest = std::min(oldest, stored_in);
-        out.except.push_back(to_string(task));
+        auto& latest = until[task];
+        latest = std::max(latest, time);
     };
     for (const auto& [id, host] : hosts_)
         for (const auto& [key, it] : host.runs)
             if (it.outstanding_until)
-                add(key.first, it.stored_in);
-    if (!has_outstanding_orders_ && out.except.size() <= max_outstanding_tasks)
-        return out;
-    for (const auto& [number, job] : active_)
-        for (std::size_t at = 0; at < job->steps.size(); ++at)
-            for (std::size_t step = 0; step < job->steps[at].size(); ++step)
+                add(key.first, *it.outstanding_until, it.stored_in);
+    if (has_outstanding_orders_)
+        for_each_outstanding_step(
+            active_,
+            [&](const job_run& job, std::size_t at, int step)
+            {
                 for (const auto& [index, order] :
-                     job->steps[at][step].outstanding)
-                    add({job->specification.id, job->record.open[at].number,
-                         int(step), index},
+                     job.steps[at][std::size_t(step)].outstanding)
+                    add(key_of(job, at, step, index), order.until,
                         order.stored_in);
-    if (out.except.size() <= max_outstanding_tasks)
+            });
+    if (until.size() > max_outstanding_tasks)
+    {
+        out.version = oldest;
         return out;
-    out.version = oldest;
-    out.except.clear();
+    }
+    for (const auto& [task, time] : until)
+        out.except.push_back({to_string(task), to_store(time)});
     return out;
 }
 
-void planner::settle_inherited_orders(const settled_orders& settled)
+void planner::settle_inherited_orders(const settled_orders& settled,
+                                      const from_store_clock& from_store)
 {
-    const std::set<std::string> except(settled.except.begin(),
-                                       settled.except.end());
-    for (const auto& active : active_)
-        for (std::size_t at = 0; at < active.second->steps.size(); ++at)
-            for (std::size_t step = 0; step < active.second->steps[at].size();
-                 ++step)
-                std::erase_if(active.second->steps[at][step].outstanding,
-                              [&](const auto& it)
-                              {
-                                  const jobs::task_key key{
-                                      active.second->specification.id,
-                                      active.second->record.open[at].number,
-                                      int(step), it.first};
-                                  return it.second.is_inherited &&
-                                         it.second.stored_in <
-                                             settled.version &&
-                                         !except.contains(to_string(key));
-                              });
+    std::map<std::string, std::optional<std::int64_t>> except;
+    for (const auto& it : settled.except)
+        except.emplace(it.task, it.until_ms);
+    const auto settle = [&](job_run& job, std::size_t at, int step)
+    {
+        auto& outstanding = job.steps[at][std::size_t(step)].outstanding;
+        for (auto it = outstanding.begin(); it != outstanding.end();)
+        {
+            auto& order = it->second;
+            const auto found =
+                except.find(to_string(key_of(job, at, step, it->first)));
+            const bool is_told =
+                order.is_inherited && order.stored_in < settled.version;
+            if (is_told && found == except.end())
+            {
+                it = outstanding.erase(it);
+                continue;
+            }
+            if (is_told && found->second)
+                order.until =
+                    std::min(order.until,
+                             from_store(*found->second).value_or(order.until));
+            ++it;
+        }
+    };
+    for_each_outstanding_step(active_, settle);
 }
 
 } // namespace mustardwick::dispatch
--- a/src/mustardwick/entry/cell_leader_load.cpp
+++ b/src/mustardwick/entry/cell_leader_load.cpp
@@ -98,7 +98,12 @@
     if (!stored)
         return log_event(log_level::warning, "leader", "orders_row_unreadable",
                          {{"reason", base::last_error().text()}});
-    planner_.settle_inherited_orders(*stored);
+    planner_.settle_inherited_orders(
+        *stored,
+        [&clock = env_.store.clock()](std::int64_t time_ms)
+        {
+            return clock.from_store(time_ms);
+        });
 }
 
 void cell_leader::add_settled_orders(durable::transaction& changes)
@@ -108,7 +113,11 @@
         return;
     next_settled_orders_ = now + settled_orders_interval;
     planner_.drop_settled_orders();
-    auto settled = planner_.settled();
+    auto settled = planner_.settled(
+        [&clock = env_.store.clock()](base::steady_time time)
+        {
+            return clock.to_store(time);
+        });
     settled.epoch = head_.epoch;
     changes.writes.push_back({{cell_table, plan_partition, settled_orders_key},
                               wire::encode(settled)});
--- a/testing/model/incarnation_leader.hpp
+++ b/testing/model/incarnation_leader.hpp
@@ -188,7 +188,12 @@
             for (const auto& it : store.leases.leases)
                 plan.restore_lapsing_lease(
                     it, base::steady_time(milliseconds(it.end_ms)));
-        plan.settle_inherited_orders(store.settled);
+        plan.settle_inherited_orders(store.settled,
+                                     [](std::int64_t time_ms)
+                                     {
+                                         return base::steady_time(
+                                             milliseconds(time_ms));
+                                     });
         store.epoch = epoch_;
     }
 
@@ -215,7 +220,7 @@
         {
             next_settled_ = cell_.clock.now() + settled_interval;
             plan.drop_settled_orders();
-            settled = plan.settled();
+            settled = plan.settled(how.to_store);
         }
         is_committing_ = true;
         const bool releases = bool(released_);
