--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -121,8 +121,11 @@
     std::optional<base::steady_time> renewed;
     /// When the last report arrived.
     std::optional<base::steady_time> reported;
-    /// When a report that listed all ends arrived last.
+    /// When the renewal was sent whose answer listed all ends last.
     std::optional<base::steady_time> listed_all;
+    /// Times at which outstanding orders cannot take effect any more and that
+    /// no renewal has been sent after.
+    std::set<base::steady_time> order_bounds;
     /// Runs that were given up because the lease had ended, until the worker
     /// reports again.
     std::map<run_key, base::steady_time> given_up;
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -151,7 +151,8 @@
     void discard(std::vector<row_change> removals);
     void worker_listed(const jobs::worker_info& info);
     void worker_unlisted(const std::string& id);
-    void worker_reported(const std::string& id, const jobs::worker_report& it);
+    void worker_reported(const std::string& id, const jobs::worker_report& it,
+                         time_point asked);
     /// @brief Records that a worker did not answer a lease renewal.
     void worker_unresponsive(const std::string& id);
     void start_answered(const start_order& order,
@@ -288,6 +289,10 @@
     /// std::nullopt before the worker's clock is known and while the worker
     /// does not answer.
     std::optional<std::int64_t> lease_deadline(const std::string& id);
+    /// @brief Returns how long a worker may take to answer a renewal that is
+    /// sent now. Only the answer to a later one shows that an outstanding order
+    /// has had no effect.
+    std::chrono::milliseconds renewal_wait(const std::string& id);
     /// @brief Returns the highest number up to which the effects of all ends of
     /// a worker are durable; 0 for an unknown worker.
     std::int64_t acknowledged_end(const std::string& id) const;
--- a/include/mustardwick/entry/worker_links.hpp
+++ b/include/mustardwick/entry/worker_links.hpp
@@ -68,7 +68,7 @@
     std::int64_t acknowledge_unverified(const std::string& id);
     void renew(const std::string& id);
     void renewed(const std::string& id, std::uint64_t generation,
-                 platform::renewal_reply reply);
+                 platform::renewal_reply reply, base::steady_time asked);
     void renew_after(link& it, std::chrono::milliseconds delay);
     void start(const dispatch::start_order& order);
     /// @brief Handles that an order was meant for another incarnation than the
--- a/src/mustardwick/dispatch/interference_test.cpp
+++ b/src/mustardwick/dispatch/interference_test.cpp
@@ -50,7 +50,8 @@
     void report(const std::string& id, std::vector<jobs::running_run> running)
     {
         plan.worker_reported(
-            id, {worker_clock(), incarnation_start, std::move(running), {}});
+            id, {worker_clock(), incarnation_start, std::move(running), {}},
+            clock.now());
     }
 
     /// Submits a job whose tasks run the given image, and starts them.
--- a/src/mustardwick/dispatch/outstanding_orders_test.cpp
+++ b/src/mustardwick/dispatch/outstanding_orders_test.cpp
@@ -501,6 +501,32 @@
     cr_assert_eq(cell.round().starts.size(), 1);
 }
 
+// Guards against a task that waits for its worker's next report after its
+// order can have no effect any more (LOST), and against one that starts again
+// although the report was made before (TWICE).
+Test(outstanding_orders, are_settled_by_the_first_renewal_after_their_bound)
+{
+    cell it;
+    const auto bound = it.clock.now() + delivery_bound;
+    it.expire();
+    while (it.clock.now() < bound + seconds(5))
+    {
+        const auto asked = it.clock.now();
+        const auto wait = it.plan.renewal_wait("w0");
+        cr_assert_leq(wait.count(), 1900);
+        it.clock.advance(wait);
+        it.plan.worker_reported(
+            "w0", {it.worker_clock(), incarnation_start, {}, {}}, asked);
+        it.report("w1");
+        const auto starts = it.round().starts;
+        cr_assert_eq(starts.empty(), asked <= bound);
+        if (!starts.empty())
+            break;
+    }
+    cr_assert_lt(it.clock.now().time_since_epoch().count(),
+                 (bound + milliseconds(600)).time_since_epoch().count());
+}
+
 struct hand_over_case
 {
     const char* name;
@@ -789,7 +815,7 @@
         report.incarnation_start_ms = incarnation_start + 1;
         report.running = {{it_cell.order.task, it_cell.order.run, "", 0}};
         report.is_verified = it.is_verified;
-        it_cell.plan.worker_reported("w0", report);
+        it_cell.plan.worker_reported("w0", report, it_cell.clock.now());
         it_cell.plan.worker_unresponsive("w0");
         const auto after = it_cell.elsewhere_after(seconds(30));
         cr_assert(after.has_value(), "%s", it.name);
--- a/src/mustardwick/dispatch/planner_fixture_test.hpp
+++ b/src/mustardwick/dispatch/planner_fixture_test.hpp
@@ -123,8 +123,10 @@
                 std::vector<jobs::ended_run> ended = {},
                 std::int64_t incarnation = incarnation_start)
     {
-        plan.worker_reported(id, {worker_clock(), incarnation,
-                                  std::move(running), std::move(ended)});
+        plan.worker_reported(
+            id,
+            {worker_clock(), incarnation, std::move(running), std::move(ended)},
+            clock.now());
     }
 
     bool submit(jobs::job job)
--- a/src/mustardwick/dispatch/planner_leases.cpp
+++ b/src/mustardwick/dispatch/planner_leases.cpp
@@ -43,6 +43,25 @@
     return estimated_clock(host) + options_.max_lease.count();
 }
 
+milliseconds planner::renewal_wait(const std::string& id)
+{
+    const auto it = hosts_.find(id);
+    if (it == hosts_.end())
+        return max_renewal_wait;
+    auto& bounds = it->second.order_bounds;
+    const auto now = clock_.now();
+    const auto next = bounds.lower_bound(now);
+    if (next != bounds.begin())
+    {
+        bounds.erase(bounds.begin(), next);
+        return milliseconds(0);
+    }
+    if (next == bounds.end())
+        return max_renewal_wait;
+    const auto left = std::chrono::floor<milliseconds>(*next - now);
+    return std::min(max_renewal_wait, left + milliseconds(1));
+}
+
 milliseconds planner::longest_lease() const
 {
     // A worker's clock may be 2 % slow.
--- a/src/mustardwick/dispatch/planner_leases_test.cpp
+++ b/src/mustardwick/dispatch/planner_leases_test.cpp
@@ -53,10 +53,12 @@
     void report(const std::string& id,
                 std::vector<jobs::running_run> running = {})
     {
-        plan.worker_reported(id, {1000 + elapsed().count(),
-                                  incarnation_start,
-                                  std::move(running),
-                                  {}});
+        plan.worker_reported(id,
+                             {1000 + elapsed().count(),
+                              incarnation_start,
+                              std::move(running),
+                              {}},
+                             clock.now());
     }
 
     milliseconds elapsed() const
@@ -323,7 +325,8 @@
     cr_assert_eq(first.stored.size(), 1);
     const auto former = first.stored[0];
     // It answers and is silent again before its removal is stored.
-    first.plan.worker_reported("w0", {5, incarnation_start + 1, {run}, {}});
+    first.plan.worker_reported("w0", {5, incarnation_start + 1, {run}, {}},
+                               first.clock.now());
     first.plan.worker_unresponsive("w0");
     const auto stored = first.plan.store_lapsing_leases(first.storing(true));
     cr_assert_eq(stored.size(), 1);
--- a/src/mustardwick/dispatch/planner_outstanding.cpp
+++ b/src/mustardwick/dispatch/planner_outstanding.cpp
@@ -46,6 +46,7 @@
                                     const outstanding_order& order)
 {
     has_outstanding_orders_ = true;
+    host_of(order.worker).order_bounds.insert(order.until);
     const auto [it, added] = step.outstanding.emplace(index, order);
     if (added)
         return;
@@ -106,10 +107,7 @@
     const auto& host = found->second;
     if (has_run(host, task, run))
         return false;
-    // A report shows its worker as of the time of sending the renewal at the
-    // earliest.
-    if (host.reachable && host.listed_all &&
-        *host.listed_all > order.until + max_renewal_time)
+    if (host.reachable && host.listed_all && *host.listed_all > order.until)
         return true;
     return now > std::max(order.until, host.calls_until) + longest_lease();
 }
@@ -320,9 +318,12 @@
                 continue;
             }
             if (is_told && found->second)
+            {
                 order.until =
                     std::min(order.until,
                              from_store(*found->second).value_or(order.until));
+                host_of(order.worker).order_bounds.insert(order.until);
+            }
             ++it;
         }
     };
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -60,7 +60,8 @@
 }
 
 void planner::worker_reported(const std::string& id,
-                              const jobs::worker_report& report)
+                              const jobs::worker_report& report,
+                              time_point asked)
 {
     const auto found = hosts_.find(id);
     if (found == hosts_.end())
@@ -88,6 +89,8 @@
         if (it.number > host.last_applied_end)
             apply_end(host, it);
     reconcile_with_report(host, report);
+    if (report.ended.size() < ends_per_page)
+        host.listed_all = asked;
     protect_targets(host);
 }
 
@@ -236,7 +239,6 @@
         reconcile_listed_run(host, it);
     if (report.ended.size() >= ends_per_page)
         return;
-    host.listed_all = clock_.now();
     std::vector<run_key> terminated;
     for (auto& [key, it] : host.runs)
     {
--- a/src/mustardwick/entry/worker_links.cpp
+++ b/src/mustardwick/entry/worker_links.cpp
@@ -143,14 +143,14 @@
         };
         renewal.deadline_ms = planner_.lease_deadline(id);
         if (renewal.deadline_ms)
-            renewal.wait = dispatch::max_renewal_wait;
+            renewal.wait = planner_.renewal_wait(id);
     }
     metrics_.add("mustardwick_renewals_total");
     it.client->renew(renewal,
-                     [self = shared_from_this(), id,
-                      generation = it.generation](platform::renewal_reply reply)
+                     [self = shared_from_this(), id, generation = it.generation,
+                      asked = clock_.now()](platform::renewal_reply reply)
                      {
-                         self->renewed(id, generation, std::move(reply));
+                         self->renewed(id, generation, std::move(reply), asked);
                      });
 }
 
@@ -165,7 +165,8 @@
 }
 
 void worker_links::renewed(const std::string& id, std::uint64_t generation,
-                           platform::renewal_reply reply)
+                           platform::renewal_reply reply,
+                           base::steady_time asked)
 {
     const auto found = links_.find(id);
     if (stopped_ || found == links_.end() ||
@@ -185,7 +186,7 @@
         const auto host = planner_.hosts().find(id);
         const bool first =
             host == planner_.hosts().end() || !host->second.adopted;
-        planner_.worker_reported(id, *reply.report);
+        planner_.worker_reported(id, *reply.report, asked);
         on_.changed();
         // A worker's first report is followed by a renewal without delay.
         return renew_after(it, first ? milliseconds(0) : renewal_delay);
--- a/testing/model/incarnation_leader.hpp
+++ b/testing/model/incarnation_leader.hpp
@@ -411,7 +411,7 @@
             acknowledged = plan.acknowledged_end(id);
             deadline_ms = plan.lease_deadline(id);
             if (deadline_ms)
-                call.wait = max_renewal_wait;
+                call.wait = plan.renewal_wait(id);
         }
         call.timeout = call.wait + renewal_margin;
         call.carry_out = [acknowledged, deadline_ms](worker_model& worker,
@@ -420,16 +420,17 @@
             return worker.renew(token, acknowledged, deadline_ms);
         };
         call.done =
-            [this, id, generation = it.generation](
+            [this, id, generation = it.generation, asked = cell_.clock.now()](
                 call_end how, const call_reply& reply, std::int64_t token)
         {
-            renewed(id, generation, how, reply, token);
+            renewed(id, generation, how, reply, token, asked);
         };
         it.renewals->send(std::move(call));
     }
 
     void renewed(const std::string& id, std::uint64_t generation, call_end how,
-                 const call_reply& reply, std::int64_t token)
+                 const call_reply& reply, std::int64_t token,
+                 base::steady_time asked)
     {
         const auto found = links_.find(id);
         if (!is_active || found == links_.end() ||
@@ -448,7 +449,7 @@
         if (how == call_end::answered)
         {
             it.failures = 0;
-            plan.worker_reported(id, reply.report);
+            plan.worker_reported(id, reply.report, asked);
             return renew_after(id, time_step);
         }
         plan.worker_unresponsive(id);
@@ -471,7 +472,6 @@
 
     static constexpr milliseconds renewal_interval{500};
     static constexpr milliseconds settled_interval{250};
-    static constexpr milliseconds max_renewal_wait{1900};
     static constexpr milliseconds renewal_margin{800};
     static constexpr milliseconds min_retry_delay{250};
     static constexpr int max_retry_doublings = 2;
