--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -72,11 +72,10 @@
     std::int64_t order_expiry_ms = 0;
     /// When the order was sent, unless a former leader sent it.
     std::optional<base::steady_time> ordered;
-    /// Until when the order is outstanding: it was not answered, or the answer
-    /// may be that of another incarnation than was meant, and an incarnation of
-    /// the worker may still carry it out. Empty once its effect
-    /// is known, and for an order with a ticket, which holds for one
-    /// incarnation.
+    /// Until when an incarnation of the worker may carry the order out, while
+    /// its effect is not known: it was not answered, or the answer may be that
+    /// of another incarnation than was meant. Empty for an order with a ticket,
+    /// which holds for one incarnation.
     std::optional<base::steady_time> outstanding_until;
     /// Lower bound of the version of the row that names the assignment.
     std::int64_t stored_in = 0;
@@ -115,7 +114,8 @@
     /// No call of this leader that lengthens a lease is carried out after this
     /// time.
     base::steady_time calls_until;
-    /// Until when orders are outstanding whose runs were given up.
+    /// Until when ends of runs that were given up with their orders
+    /// outstanding may be reported.
     base::steady_time lost_orders_until;
     /// When this leader sent the last renewal that lengthened the lease.
     std::optional<base::steady_time> renewed;
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -475,6 +475,9 @@
     /// outstanding any more.
     void order_took_effect(const host_state& host, const jobs::task_key& task,
                            int run);
+    /// @brief Records that an order whose run was given up has been carried
+    /// out or refused by now.
+    void order_answered_late(host_state& host, const start_order& order);
     /// @brief Returns whether a host has a run of a task other than the given
     /// one.
     static bool has_run(const host_state& host, const jobs::task_key& task,
--- a/src/mustardwick/dispatch/outstanding_orders_test.cpp
+++ b/src/mustardwick/dispatch/outstanding_orders_test.cpp
@@ -527,6 +527,58 @@
                  (bound + milliseconds(600)).time_since_epoch().count());
 }
 
+struct answer_case
+{
+    const char* name;
+    jobs::order_result result;
+    /// The answer arrives after the run was given up.
+    bool is_late;
+    bool is_verified;
+};
+
+// Guards against a task that waits for as long as an order without an answer,
+// although the order was answered and its run is not listed (LOST; issue 51,
+// process.closed-connections-swapped).
+Test(outstanding_orders, are_settled_by_the_first_renewal_after_their_answer)
+{
+    using jobs::order_result;
+    const std::array cases = {
+        answer_case{"accepted", order_result::accepted, false, false},
+        answer_case{"accepted late", order_result::accepted, true, false},
+        answer_case{"verified late", order_result::accepted, true, true},
+        answer_case{"refused late", order_result::overtaken, true, false},
+    };
+    for (const auto& it : cases)
+    {
+        cell it_cell;
+        const auto answer = [&]
+        {
+            it_cell.answer(it.result, it.is_verified);
+        };
+        if (!it.is_late)
+            answer();
+        // The worker starts again. The reports may be older than the run.
+        const auto report = [&, asked = it_cell.clock.now()]
+        {
+            it_cell.clock.advance(milliseconds(50));
+            it_cell.plan.worker_reported(
+                "w0", {it_cell.worker_clock(), incarnation_start + 1, {}, {}},
+                asked);
+        };
+        report();
+        for (const auto& stop : it_cell.plan.take_orders({0, 0}).stops)
+            it_cell.plan.stop_answered(
+                stop, {order_result::accepted, it_cell.worker_clock()});
+        report();
+        if (it.is_late)
+            answer();
+        it_cell.report("w1");
+        cr_assert(it_cell.round().starts.empty(), "%s: too early", it.name);
+        it_cell.restart();
+        cr_assert_eq(it_cell.round().starts.size(), 1, "%s: too late", it.name);
+    }
+}
+
 struct hand_over_case
 {
     const char* name;
--- a/src/mustardwick/dispatch/planner_orders.cpp
+++ b/src/mustardwick/dispatch/planner_orders.cpp
@@ -56,8 +56,12 @@
     // Also with a ticket, which may be that of the next incarnation.
     else if (it != host.runs.end() && !reply.is_verified)
         it->second.outstanding_until =
-            std::max(it->second.outstanding_until.value_or(time_point()),
-                     clock_.now() + options_.max_delivery_delay);
+            result == order_result::unknown
+                ? std::max(it->second.outstanding_until.value_or(time_point()),
+                           clock_.now() + options_.max_delivery_delay)
+                : clock_.now();
+    else if (it == host.runs.end() && result != order_result::unknown)
+        order_answered_late(host, order);
     const bool has_clock =
         reply.clock_ms != 0 && reply.result != order_result::other_incarnation;
     if (has_clock && !reply.is_verified)
--- a/src/mustardwick/dispatch/planner_outstanding.cpp
+++ b/src/mustardwick/dispatch/planner_outstanding.cpp
@@ -37,7 +37,8 @@
     if (!it.outstanding_until || step == nullptr)
         return;
     host.lost_orders_until =
-        std::max(host.lost_orders_until, *it.outstanding_until);
+        std::max({host.lost_orders_until, *it.outstanding_until,
+                  clock_.now() + options_.max_delivery_delay});
     add_outstanding_order(*step, it.task.index,
                           {host.info.id, *it.outstanding_until, it.stored_in});
 }
@@ -81,6 +82,20 @@
         find_step(task)->outstanding.erase(task.index);
 }
 
+void planner::order_answered_late(host_state& host, const start_order& order)
+{
+    const auto* record = find_task(order.task);
+    auto* outstanding = outstanding_order_on(host, order.task);
+    if (record == nullptr || record->run != order.run ||
+        outstanding == nullptr || outstanding->is_inherited ||
+        find_job(order.task.job)
+            ->specification.steps[std::size_t(order.task.step)]
+            .long_running)
+        return;
+    outstanding->until = std::min(outstanding->until, clock_.now());
+    host.order_bounds.insert(outstanding->until);
+}
+
 bool planner::has_run(const host_state& host, const jobs::task_key& task,
                       int except)
 {
