--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -724,7 +724,7 @@
     std::int64_t stored_version_ = 0;
     /// Cleared by drop_settled_orders(): most rounds need not look for them in
     /// all jobs.
-    bool has_outstanding_orders_ = false;
+    bool may_have_outstanding_orders_ = false;
     std::uint64_t next_number_ = 0;
     time_point created_;
     time_point next_sweep_;
--- a/src/mustardwick/dispatch/planner_outstanding.cpp
+++ b/src/mustardwick/dispatch/planner_outstanding.cpp
@@ -46,7 +46,7 @@
 void planner::add_outstanding_order(step_run& step, int index,
                                     const outstanding_order& order)
 {
-    has_outstanding_orders_ = true;
+    may_have_outstanding_orders_ = true;
     host_of(order.worker).order_bounds.insert(order.until);
     const auto [it, added] = step.outstanding.emplace(index, order);
     if (added)
@@ -262,14 +262,14 @@
 
 void planner::drop_settled_orders()
 {
-    if (!std::exchange(has_outstanding_orders_, false))
+    if (!std::exchange(may_have_outstanding_orders_, false))
         return;
     for_each_outstanding_step(
         active_,
         [&](job_run& job, std::size_t at, int step)
         {
             drop_settled_orders_of(job, at, step);
-            has_outstanding_orders_ |=
+            may_have_outstanding_orders_ |=
                 !job.steps[at][std::size_t(step)].outstanding.empty();
         });
 }
@@ -291,7 +291,7 @@
         for (const auto& [key, it] : host.runs)
             if (it.outstanding_until)
                 add(key.first, *it.outstanding_until, it.stored_in);
-    if (has_outstanding_orders_)
+    if (may_have_outstanding_orders_)
         for_each_outstanding_step(
             active_,
             [&](const job_run& job, std::size_t at, int step)
--- a/src/mustardwick/dispatch/planner_ready.cpp
+++ b/src/mustardwick/dispatch/planner_ready.cpp
@@ -169,7 +169,7 @@
             ++job.context.usage->waiting_surplus;
             ++round_.surplus_jobs;
         }
-        if (has_outstanding_orders_)
+        if (may_have_outstanding_orders_)
             count_outstanding_orders(job);
         if (is_parked(job))
         {
