--- a/src/mustardwick/dispatch/outstanding_cell_test.hpp
+++ b/src/mustardwick/dispatch/outstanding_cell_test.hpp
@@ -18,8 +18,8 @@
 /// From the order until it takes no effect any more.
 inline constexpr milliseconds delivery_bound{12'800};
 
-/// One task on the first of two workers.
-/// A task whose order was sent to "w0" and has not been answered yet.
+/// A task whose order was sent to the first of two workers, "w0", and has not
+/// been answered yet.
 struct outstanding_cell : planner_fixture
 {
     explicit outstanding_cell(const std::string& queue = "plain",
