--- a/src/mustardwick/aio/http_channel_test.cpp
+++ b/src/mustardwick/aio/http_channel_test.cpp
@@ -167,6 +167,23 @@
 namespace
 {
 
+/// The peer answers "/who" with the number of its process.
+channel_options options_with_identification()
+{
+    channel_options out;
+    out.identify = []
+    {
+        identification it;
+        it.call.target = "/who";
+        it.process_of = [](const http_result& result)
+        {
+            return std::optional<std::int64_t>(std::stoll(result.body));
+        };
+        return it;
+    };
+    return out;
+}
+
 struct recipient_case
 {
     const char* name;
@@ -205,18 +222,8 @@
             cr_assert(out->start());
             return out;
         };
-        channel_options options;
-        options.identify = []
-        {
-            identification out;
-            out.call.target = "/who";
-            out.process_of = [](const http_result& result)
-            {
-                return std::optional<std::int64_t>(std::stoll(result.body));
-            };
-            return out;
-        };
-        const auto channel = std::make_shared<http_channel>(io, where, options);
+        const auto channel = std::make_shared<http_channel>(
+            io, where, options_with_identification());
         const auto call = [&](std::int64_t process)
         {
             http_call out;
@@ -294,18 +301,8 @@
         cr_assert(server.start());
         if (it.closes)
             server.begin_drain();
-        channel_options options;
-        options.identify = []
-        {
-            identification out;
-            out.call.target = "/who";
-            out.process_of = [](const http_result& result)
-            {
-                return std::optional<std::int64_t>(std::stoll(result.body));
-            };
-            return out;
-        };
-        const auto channel = std::make_shared<http_channel>(io, where, options);
+        const auto channel = std::make_shared<http_channel>(
+            io, where, options_with_identification());
         for (int call = 0; call < 2; ++call)
         {
             std::optional<http_result> result;
--- a/src/mustardwick/entry/worker_links_test.cpp
+++ b/src/mustardwick/entry/worker_links_test.cpp
@@ -136,6 +136,14 @@
         clock_ms_ = 10;
     }
 
+    /// Answers the renewals that wait, at a later time of the worker's clock.
+    void end_waits_after(milliseconds time)
+    {
+        clock_ms_ += time.count();
+        for (const auto& respond : std::exchange(waiting_, {}))
+            report(respond);
+    }
+
     std::int64_t incarnation() const
     {
         return incarnation_;
@@ -172,6 +180,11 @@
         calls.push_back({incarnation_, request.target, request.body});
         if (request.body.find("wait_ms") != std::string::npos)
             return waiting_.push_back(respond);
+        report(respond);
+    }
+
+    void report(const aio::responder& respond)
+    {
         respond({200,
                  R"({"clock_ms":)" + std::to_string(++clock_ms_) +
                      R"(,"born":)" + std::to_string(incarnation_) +
@@ -524,6 +537,54 @@
     io.run_for(milliseconds(10));
 }
 
+// Guards against a task that waits for a renewal without news when its order
+// can have no effect any more (LOST), and against one that starts again after
+// the answer to an earlier renewal (TWICE, issue 51).
+Test(worker_links, settle_an_order_by_a_renewal_that_is_sent_after_its_bound)
+{
+    planner_fixture cell(1);
+    boost::asio::io_context io;
+    restarting_worker worker(io, 27505);
+    const auto links = make_links(io, cell);
+    cell.plan.worker_listed(worker.info());
+    links->listed(worker.info());
+    io.run_for(milliseconds(200));
+    cell.submit(make_job("j", "plain", {make_step(1, 1)}));
+    const auto order = cell.round().starts.at(0);
+    cell.plan.start_answered(order, {jobs::order_result::unknown, 0});
+    const auto renew_after = [&](milliseconds time)
+    {
+        cell.clock.advance(time);
+        worker.calls.clear();
+        worker.end_waits_after(time);
+        io.run_for(milliseconds(150));
+        cr_assert_not(worker.calls.empty());
+        return worker.calls.back().body;
+    };
+    const auto has_wait = [](const std::string& body)
+    {
+        return body.find("wait_ms") != std::string::npos;
+    };
+    const auto is_settled = [&]
+    {
+        cell.plan.drop_settled_orders();
+        return cell.settled().except.empty();
+    };
+    // The order has expired, and its run is given up.
+    renew_after(milliseconds(5000));
+    const auto last = renew_after(milliseconds(7700));
+    cr_assert_neq(last.find("\"wait_ms\":101"), std::string::npos, "%s",
+                  last.c_str());
+    cr_assert_not(is_settled());
+    const auto after = renew_after(milliseconds(200));
+    cr_assert(has_wait(after), "%s", after.c_str());
+    cr_assert(is_settled());
+    const auto asked = worker.calls.front().body;
+    cr_assert_not(has_wait(asked), "%s", asked.c_str());
+    links->stop();
+    io.run_for(milliseconds(10));
+}
+
 // Guards against a worker that closes its connection after each answer and gets
 // no work, and against more calls to one that keeps its connections.
 Test(worker_links, give_work_to_a_worker_that_closes_its_connections)
