--- a/review/cell.py
+++ b/review/cell.py
@@ -149,7 +149,9 @@
             "node_name": self.name, "zone": ZONES[number % 3], "ip": HOST,
             "listen": {"frontend": f"{HOST}:{self.callers}",
                        "readiness": f"{HOST}:{self.readiness}"},
-            "internal_ports": [peer, metrics], "limits": {"cpu_share": 0.25},
+            "internal_ports": [peer, metrics],
+            "limits": {"cpu_share": 0.25, "memory_mb": 160, "max_fds": 4100,
+                       "link_mbps": 200},
             "platform": {"address": f"{HOST}:{self.store}"},
             "advice": f"{HOST}:{cell.advice_port}", "bounds": BOUNDS,
         }
