--- a/src/mustardwick/dispatch/planner_outstanding.cpp
+++ b/src/mustardwick/dispatch/planner_outstanding.cpp
@@ -47,7 +47,10 @@
                                     const outstanding_order& order)
 {
     may_have_outstanding_orders_ = true;
-    host_of(order.worker).order_bounds.insert(order.until);
+    // A successor has one bound for all workers, whose renewals must not be
+    // made to end together.
+    if (!order.is_inherited)
+        host_of(order.worker).order_bounds.insert(order.until);
     const auto [it, added] = step.outstanding.emplace(index, order);
     if (added)
         return;
--- a/src/mustardwick/dispatch/settled_orders_test.cpp
+++ b/src/mustardwick/dispatch/settled_orders_test.cpp
@@ -229,6 +229,23 @@
     }
 }
 
+// Guards against a successor that makes the renewals of all workers end at the
+// same time, in step from then on: they have one bound.
+Test(outstanding_orders, of_former_leaders_do_not_synchronize_renewals)
+{
+    planner_fixture cell(0);
+    cell.plan.restore(make_job("j", "plain", {make_step(1, 1)}),
+                      record_of(jobs::task_state::assigned, "w0"), false, {},
+                      1);
+    cell.list_host("w0", "z", false);
+    cell.report("w0", {{{"j", 0, 0, 0}, 1, "", 0}});
+    for (int it = 0; it < 200; ++it)
+    {
+        cell.clock.advance(milliseconds(100));
+        cr_assert_eq(cell.plan.renewal_wait("w0").count(), 1900);
+    }
+}
+
 // Guards against a successor that lets all tasks of a lost worker wait because
 // of one order without an answer (LOST).
 Test(outstanding_orders, of_a_former_leader_delay_no_other_task)
