--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -30,6 +30,8 @@
     : clock_(time), options_(options), metrics_(metrics), created_(time.now()),
       next_sweep_(time.now() + retention_sweep_interval)
 {
+    // This clock may be 2 % fast.
+    options_.max_delivery_delay = options_.max_delivery_delay * 100 / 98;
 }
 
 void planner::set_configuration(jobs::configuration value)
