--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -250,7 +250,7 @@
 
     /// @brief Returns which orders are settled, for a successor: a task whose
     /// order may still be carried out does not start again.
-    settled_orders settled(const to_store_clock& to_store) const;
+    settled_orders settled(const std::optional<to_store_clock>& to_store) const;
     /// @brief Forgets the outstanding orders that are settled by now.
     void drop_settled_orders();
 
--- a/include/mustardwick/dispatch/settled_orders.hpp
+++ b/include/mustardwick/dispatch/settled_orders.hpp
@@ -21,7 +21,7 @@
 {
     std::string task;
     /// By when none can take effect any more, in milliseconds on the store's
-    /// clock, which all leaders read; std::nullopt before its first reading.
+    /// clock, which all leaders read; std::nullopt while that is not known.
     std::optional<std::int64_t> until_ms;
 
     template <typename Archive>
@@ -57,10 +57,18 @@
 /// these the row stays below 35,000 bytes.
 inline constexpr std::size_t max_outstanding_tasks = 500;
 
-/// @brief Converts a time to the store's clock, or back; the result is not
-/// early, and std::nullopt before a first reading of that clock.
-using to_store_clock =
-    std::function<std::optional<std::int64_t>(base::steady_time)>;
+/// @brief Converts a time of the planner's clock to the store's; the result is
+/// not early unless the host was suspended between the reading and what the
+/// time is counted from.
+struct to_store_clock
+{
+    std::function<std::int64_t(base::steady_time)> convert;
+    /// When the store's clock was read.
+    base::steady_time clock_read;
+};
+
+/// @brief Converts a time of the store's clock; the result is not early, and
+/// std::nullopt before a first reading of that clock.
 using from_store_clock =
     std::function<std::optional<base::steady_time>(std::int64_t)>;
 
--- a/src/mustardwick/dispatch/planner_outstanding.cpp
+++ b/src/mustardwick/dispatch/planner_outstanding.cpp
@@ -277,7 +277,8 @@
         });
 }
 
-settled_orders planner::settled(const to_store_clock& to_store) const
+settled_orders
+planner::settled(const std::optional<to_store_clock>& to_store) const
 {
     settled_orders out;
     out.version = stored_version_ + 1;
@@ -310,7 +311,13 @@
         return out;
     }
     for (const auto& [task, time] : until)
-        out.except.push_back({to_string(task), to_store(time)});
+    {
+        // An order is sent by then, if it is not answered earlier.
+        const auto sent = time - options_.max_delivery_delay;
+        auto& told = out.except.emplace_back(to_string(task), std::nullopt);
+        if (to_store && sent <= to_store->clock_read)
+            told.until_ms = to_store->convert(time);
+    }
     return out;
 }
 
--- a/src/mustardwick/dispatch/settled_orders_test.cpp
+++ b/src/mustardwick/dispatch/settled_orders_test.cpp
@@ -211,6 +211,8 @@
         {
             if (term < delivery_bound)
                 cr_assert_not(runs_within(term), "%s", it.name);
+            else
+                leader->clock.advance(term);
             leader->plan.drop_settled_orders();
             const auto settled = leader->settled();
             elapsed += term;
@@ -229,6 +231,23 @@
     }
 }
 
+// Guards against a time on the store's clock that is too early because the
+// leader's host was suspended before it sent the order (TWICE): the time is
+// told once that clock was read after the order.
+Test(outstanding_orders, are_told_by_a_clock_that_was_read_since)
+{
+    outstanding_cell it;
+    it.answer(jobs::order_result::unknown);
+    const auto sent = it.clock.now();
+    const auto told = [&](milliseconds after)
+    {
+        return it.settled(sent + after).except.at(0).until_ms.has_value();
+    };
+    cr_assert_not(told(milliseconds(-1)));
+    cr_assert_not(told(milliseconds(799)));
+    cr_assert(told(milliseconds(800)));
+}
+
 // Guards against a successor that makes the renewals of all workers end at the
 // same time, in step from then on: they have one bound.
 Test(outstanding_orders, of_former_leaders_do_not_synchronize_renewals)
--- a/src/mustardwick/entry/cell_leader_load.cpp
+++ b/src/mustardwick/entry/cell_leader_load.cpp
@@ -113,11 +113,15 @@
         return;
     next_settled_orders_ = now + settled_orders_interval;
     planner_.drop_settled_orders();
-    auto settled = planner_.settled(
-        [&clock = env_.store.clock()](base::steady_time time)
-        {
-            return clock.to_store(time);
-        });
+    const auto& clock = env_.store.clock();
+    std::optional<dispatch::to_store_clock> to_store;
+    if (const auto read = clock.last_reading())
+        to_store = {[&clock](base::steady_time time)
+                    {
+                        return *clock.to_store(time);
+                    },
+                    *read};
+    auto settled = planner_.settled(to_store);
     settled.epoch = head_.epoch;
     changes.writes.push_back({{cell_table, plan_partition, settled_orders_key},
                               wire::encode(settled)});
--- a/testing/model/incarnation_leader.hpp
+++ b/testing/model/incarnation_leader.hpp
@@ -220,7 +220,8 @@
         {
             next_settled_ = cell_.clock.now() + settled_interval;
             plan.drop_settled_orders();
-            settled = plan.settled(how.to_store);
+            settled =
+                plan.settled(to_store_clock{how.to_store, how.clock_read});
         }
         is_committing_ = true;
         const bool releases = bool(released_);
