--- a/src/mustardwick/dispatch/settled_orders_test.cpp
+++ b/src/mustardwick/dispatch/settled_orders_test.cpp
@@ -231,6 +231,38 @@
     }
 }
 
+// Guards against an order that counts as settled by a report which may omit the
+// end of its run (TWICE).
+Test(outstanding_orders, are_not_settled_by_an_incomplete_report)
+{
+    constexpr int page = 500;
+    outstanding_cell it;
+    it.expire();
+    it.clock.advance(delivery_bound);
+    std::vector<jobs::ended_run> others;
+    for (int number = 1; number <= page; ++number)
+        others.push_back(
+            {number, {"k", 0, 0, number}, 1, jobs::run_outcome::done, ""});
+    it.report("w0", {}, others);
+    it.report("w1");
+    cr_assert(it.round().starts.empty());
+    it.report("w0");
+    cr_assert_eq(it.round().starts.size(), 1);
+}
+
+// Guards against a call that ended without an answer after its run was given up
+// and counts as answered (TWICE).
+Test(outstanding_orders, are_not_settled_by_a_call_that_ends_without_an_answer)
+{
+    outstanding_cell it;
+    it.expire();
+    it.answer(jobs::order_result::unknown);
+    it.clock.advance(seconds(5));
+    it.report("w0");
+    it.report("w1");
+    cr_assert(it.round().starts.empty());
+}
+
 // Guards against a time on the store's clock that is too early because the
 // leader's host was suspended before it sent the order (TWICE): the time is
 // told once that clock was read after the order.
