--- a/src/mustardwick/dispatch/planner_outstanding.cpp
+++ b/src/mustardwick/dispatch/planner_outstanding.cpp
@@ -314,9 +314,10 @@
     {
         // An order is sent by then, if it is not answered earlier.
         const auto sent = time - options_.max_delivery_delay;
-        auto& told = out.except.emplace_back(to_string(task), std::nullopt);
+        std::optional<std::int64_t> until_ms;
         if (to_store && sent <= to_store->clock_read)
-            told.until_ms = to_store->convert(time);
+            until_ms = to_store->convert(time);
+        out.except.push_back({to_string(task), until_ms});
     }
     return out;
 }
