--- a/src/mustardwick/aio/http_channel_test.cpp
+++ b/src/mustardwick/aio/http_channel_test.cpp
@@ -184,6 +184,22 @@
     return out;
 }
 
+/// Sends a call and returns its result, if there is one within 3 s.
+std::optional<http_result> answer_to(boost::asio::io_context& io,
+                                     http_channel& channel, http_call call)
+{
+    std::optional<http_result> out;
+    channel.send(std::move(call),
+                 [&](http_result result)
+                 {
+                     out = std::move(result);
+                     io.stop();
+                 });
+    io.restart();
+    io.run_for(milliseconds(3000));
+    return out;
+}
+
 struct recipient_case
 {
     const char* name;
@@ -229,15 +245,7 @@
             http_call out;
             out.target = "/work";
             out.process = process;
-            std::optional<http_result> result;
-            channel->send(std::move(out),
-                          [&](http_result answer)
-                          {
-                              result = std::move(answer);
-                              io.stop();
-                          });
-            io.restart();
-            io.run_for(milliseconds(3000));
+            const auto result = answer_to(io, *channel, std::move(out));
             cr_assert(result.has_value(), "%s", it.name);
             return result->end;
         };
@@ -305,7 +313,6 @@
             io, where, options_with_identification());
         for (int call = 0; call < 2; ++call)
         {
-            std::optional<http_result> result;
             std::optional<bool> made_verified;
             http_call sent;
             sent.target = "/work";
@@ -315,14 +322,7 @@
                 made_verified = is_verified;
                 return std::string("{}");
             };
-            channel->send(std::move(sent),
-                          [&](http_result answer)
-                          {
-                              result = std::move(answer);
-                              io.stop();
-                          });
-            io.restart();
-            io.run_for(milliseconds(3000));
+            const auto result = answer_to(io, *channel, std::move(sent));
             cr_assert(result.has_value(), "%s", it.name);
             cr_assert(result->end == it.end, "%s: %s", it.name,
                       result->reason.c_str());
--- a/src/mustardwick/entry/worker_links_test.cpp
+++ b/src/mustardwick/entry/worker_links_test.cpp
@@ -199,6 +199,15 @@
     aio::http_listener listener_;
 };
 
+/// Lists a worker and lets it answer the first renewal.
+void connect(boost::asio::io_context& io, planner_fixture& cell,
+             worker_links& links, const restarting_worker& worker)
+{
+    cell.plan.worker_listed(worker.info());
+    links.listed(worker.info());
+    io.run_for(milliseconds(200));
+}
+
 /// A worker that handles one call only after the identification that follows
 /// it, as calls on different connections can overtake each other.
 class overtaking_worker
@@ -390,9 +399,7 @@
     boost::asio::io_context io;
     restarting_worker worker(io, 27439);
     const auto links = make_links(io, cell);
-    cell.plan.worker_listed(worker.info());
-    links->listed(worker.info());
-    io.run_for(milliseconds(200));
+    connect(io, cell, *links, worker);
     cell.submit(make_job("j", "plain", {make_step(1, 1)}));
     const auto order = cell.round().starts.at(0);
     const auto former = worker.incarnation();
@@ -516,9 +523,7 @@
     boost::asio::io_context io;
     restarting_worker worker(io, 27495);
     const auto links = make_links(io, cell);
-    cell.plan.worker_listed(worker.info());
-    links->listed(worker.info());
-    io.run_for(milliseconds(200));
+    connect(io, cell, *links, worker);
     cell.submit(make_job("j", "plain", {make_step(8, 1)}));
     const auto orders = cell.round();
     cr_assert_eq(orders.starts.size(), 8);
@@ -546,9 +551,7 @@
     boost::asio::io_context io;
     restarting_worker worker(io, 27505);
     const auto links = make_links(io, cell);
-    cell.plan.worker_listed(worker.info());
-    links->listed(worker.info());
-    io.run_for(milliseconds(200));
+    connect(io, cell, *links, worker);
     cell.submit(make_job("j", "plain", {make_step(1, 1)}));
     const auto order = cell.round().starts.at(0);
     cell.plan.start_answered(order, {jobs::order_result::unknown, 0});
@@ -601,9 +604,7 @@
         if (it.closes)
             worker.close_connections();
         const auto links = make_links(io, cell);
-        cell.plan.worker_listed(worker.info());
-        links->listed(worker.info());
-        io.run_for(milliseconds(200));
+        connect(io, cell, *links, worker);
         cell.submit(make_job("j", "plain", {make_step(1, 1)}));
         const auto order = cell.round().starts.at(0);
         links->deliver({{order}, {}, {}});
