Compute the life of a lease in one place

The tolerance for a worker's slow clock stood in longest_lease(), beside it for leases that a reply tells, and at the release of starts. The values are the same.

--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -505,7 +505,10 @@
     time_point latest_end(const host_state& host, const running& it);
 
     // planner_leases.cpp
-    /// @brief Returns the longest life of a lease on this host's clock.
+    /// @brief Returns how long a lease lives at most, on this host's clock.
+    static std::chrono::milliseconds
+    lease_life(std::chrono::milliseconds granted);
+    /// @brief Returns how long any lease lives at most.
     std::chrono::milliseconds longest_lease() const;
     /// @brief Returns by when a lease that a worker has granted up to now, or
     /// grants to a call that is sent now, has ended.
--- a/src/mustardwick/dispatch/planner_commits.cpp
+++ b/src/mustardwick/dispatch/planner_commits.cpp
@@ -343,9 +343,8 @@
         if (order.ticket.empty())
             it->second.outstanding_until = delivered;
         host.lease_bound =
-            std::max(host.lease_bound, clock_.now() +
-                                           options_.start_validity * 100 / 98 +
-                                           milliseconds(100));
+            std::max(host.lease_bound,
+                     clock_.now() + lease_life(options_.start_validity));
         outbox_.starts.push_back(std::move(order));
     }
 }
--- a/src/mustardwick/dispatch/planner_leases.cpp
+++ b/src/mustardwick/dispatch/planner_leases.cpp
@@ -62,10 +62,15 @@
     return std::min(max_renewal_wait, left + milliseconds(1));
 }
 
-milliseconds planner::longest_lease() const
+milliseconds planner::lease_life(milliseconds granted)
 {
     // A worker's clock may be 2 % slow.
-    return options_.max_lease * 100 / 98 + milliseconds(100);
+    return granted * 100 / 98 + milliseconds(100);
+}
+
+milliseconds planner::longest_lease() const
+{
+    return lease_life(options_.max_lease);
 }
 
 void planner::count_granted_lease(host_state& host, std::int64_t granted_ms)
@@ -73,8 +78,7 @@
     const milliseconds granted(
         std::clamp<std::int64_t>(granted_ms, 0, options_.max_lease.count()));
     host.lease_bound =
-        std::max(host.lease_bound,
-                 clock_.now() + granted * 100 / 98 + milliseconds(100));
+        std::max(host.lease_bound, clock_.now() + lease_life(granted));
 }
 
 planner::time_point planner::longest_lease_from_now() const
