--- a/review/cell3.py
+++ b/review/cell3.py
@@ -258,12 +258,12 @@
             return 409, self.stamp({"reason": "ticket"})
         step = self.cell.step_of(body["task"])
         used = sum(it["cpu"] for it in self.runs.values())
-        if step is not None and used + step["cpu"] > self.capacity["cpu"]:
+        if step is not None and used + step.get("cpu", 0) > self.capacity["cpu"]:
             return 409, self.stamp({"reason": "room"})
         self.extend(body["deadline_ms"])
         loop = asyncio.get_running_loop()
         run_s, how = self.cell.plan_of(self, key)
-        self.runs[key] = {"cpu": step["cpu"] if step else 0,
+        self.runs[key] = {"cpu": step.get("cpu", 0) if step else 0,
                           "timer": loop.call_later(run_s, self.finish, key,
                                                    how)}
         self.note_end(key)
