--- a/src/mustardwick/dispatch/planner_held_back.cpp
+++ b/src/mustardwick/dispatch/planner_held_back.cpp
@@ -133,6 +133,7 @@
                {"tasks", step.waiting},
                {"reason", name_of(held.reason)},
                {"held_ms", since.count()},
+               {"open_queries", step.state().open_queries},
                {"slots", n.slots},
                {"out_of_service", n.out_of_service},
                {"denied", n.denied},
