--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -143,7 +143,8 @@
     jobs::job_record record;
     /// By position in record.open, then by step.
     std::vector<std::vector<step_run>> steps;
-    /// Position in the order of arrival at this planner.
+    /// Position in the order of arrival at this planner. It tells a job from a
+    /// dropped one whose id was submitted again.
     std::uint64_t number = 0;
     base::steady_time arrived;
     /// State reported to callers; it changes only when a commit is done.
--- a/include/mustardwick/dispatch/orders.hpp
+++ b/include/mustardwick/dispatch/orders.hpp
@@ -57,6 +57,8 @@
 struct advice_query
 {
     std::string job;
+    /// job_run::number of the job that asks.
+    std::uint64_t job_number = 0;
     std::int64_t occurrence = 0;
     int step = 0;
     std::vector<std::string> workers;
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -328,6 +328,9 @@
     /// @brief Returns the state of a host, which is added when it is new.
     host_state& host_of(const std::string& id);
     job_run* find_job(const std::string& id);
+    /// @brief Returns the job with the given number; nullptr once it is gone,
+    /// even if its id has been submitted again.
+    job_run* find_job(const std::string& id, std::uint64_t number);
     /// @brief Restores the run of a task and its outstanding order.
     void restore_task(job_run& job, std::size_t position, int step, int index,
                       std::int64_t version);
--- a/src/mustardwick/dispatch/advice_test.cpp
+++ b/src/mustardwick/dispatch/advice_test.cpp
@@ -190,3 +190,57 @@
     }
     cr_assert_eq(started, 2);
 }
+
+struct resubmitted_case
+{
+    const char* name;
+    /// The job asks before the answer to the dropped one arrives.
+    bool has_asked;
+    bool is_answered;
+};
+
+// Guards against a job that never starts, because the answer to a query of a
+// dropped job with its id was counted as one to its own.
+Test(advice, answers_to_a_dropped_job_are_not_those_of_its_successor)
+{
+    const resubmitted_case cases[] = {
+        {"answered before it asks", false, true},
+        {"answered while it asks", true, true},
+        {"unanswered before it asks", false, false},
+        {"unanswered while it asks", true, false},
+    };
+    for (const auto& it : cases)
+    {
+        planner_fixture cell(2);
+        const auto job = make_job("j", "asked", {make_step(1, 1)});
+        cell.plan.submit(job, [] {});
+        cell.clock.advance(milliseconds(200));
+        const auto sent_at = cell.clock.now();
+        const auto former = cell.plan.take_orders({1, 1}).queries;
+        cr_assert_eq(former.size(), 1, "%s", it.name);
+        cr_assert_eq(cell.plan.reject_unsent_jobs(), 1, "%s", it.name);
+
+        cell.submit(job);
+        std::vector<advice_query> own;
+        if (it.has_asked)
+            own = cell.round(1).queries;
+        auto allowed = std::optional(allow_all(former[0]));
+        if (!it.is_answered)
+            allowed.reset();
+        cell.plan.advice_answered(former[0], allowed, sent_at);
+        const auto then = cell.round(1);
+        cr_assert(then.starts.empty(), "%s", it.name);
+        cr_assert_eq(then.queries.empty(), it.has_asked, "%s", it.name);
+
+        if (!it.has_asked)
+            own = then.queries;
+        // Its tickets expire before they are used.
+        cell.plan.advice_answered(own.at(0), allow_all(own[0]),
+                                  cell.clock.now() - milliseconds(5000));
+        const auto again = cell.round(1).queries;
+        cr_assert_eq(again.size(), 1, "%s", it.name);
+        cell.plan.advice_answered(again[0], allow_all(again[0]),
+                                  cell.clock.now());
+        cr_assert_eq(cell.round().starts.size(), 1, "%s", it.name);
+    }
+}
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -64,6 +64,12 @@
     return it == jobs_.end() ? nullptr : &it->second;
 }
 
+job_run* planner::find_job(const std::string& id, std::uint64_t number)
+{
+    auto* job = find_job(id);
+    return job != nullptr && job->number == number ? job : nullptr;
+}
+
 void planner::mark_dirty(job_run& job)
 {
     job.remaining_chain_ms = -1;
--- a/src/mustardwick/dispatch/planner_advice.cpp
+++ b/src/mustardwick/dispatch/planner_advice.cpp
@@ -230,6 +230,7 @@
 {
     advice_query query;
     query.job = step.job->specification.id;
+    query.job_number = step.job->number;
     query.occurrence = step.occurrence();
     query.step = step.step;
     const auto n = workers.size();
@@ -261,12 +262,18 @@
                               std::optional<std::vector<advice_ticket>> allowed,
                               time_point sent_at)
 {
-    auto* job = find_job(query.job);
-    auto* state = find_step({query.job, query.occurrence, query.step, 0});
-    if (job == nullptr || state == nullptr)
+    // The channel is free again.
+    placement_due_ = true;
+    auto* job = find_job(query.job, query.job_number);
+    auto* state = job == nullptr
+                      ? nullptr
+                      : find_step({query.job, query.occurrence, query.step, 0});
+    if (state == nullptr)
+    {
+        metrics_.add("mustardwick_advice_answers_discarded_total");
         return;
+    }
     --state->open_queries;
-    placement_due_ = true;
     if (!allowed)
     {
         state->next_query = clock_.now() + query_retry_delay;
