--- a/include/mustardwick/dispatch/job_run.hpp
+++ b/include/mustardwick/dispatch/job_run.hpp
@@ -86,9 +86,6 @@
     base::steady_time next_query;
     /// Preempted capacity is kept for the step until this time.
     base::steady_time preempting_until;
-    /// Last run number whose failure was counted: a gang step fails at most
-    /// once for each run number.
-    int failed_run = 0;
     /// Run of a gang step that a member has ended with a checkpoint, which is
     /// newer than those that are known of lost members.
     int checkpoint_run = 0;
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -331,6 +331,9 @@
     /// @brief Returns the job with the given number; nullptr once it is gone,
     /// even if its id has been submitted again.
     job_run* find_job(const std::string& id, std::uint64_t number);
+    /// @brief Fills in the failed runs in rows of earlier releases.
+    static void restore_failed_runs(const jobs::step& step,
+                                    std::span<jobs::task_record> tasks);
     /// @brief Restores the run of a task and its outstanding order.
     void restore_task(job_run& job, std::size_t position, int step, int index,
                       std::int64_t version);
--- a/src/mustardwick/dispatch/planner.cpp
+++ b/src/mustardwick/dispatch/planner.cpp
@@ -193,13 +193,34 @@
     for (std::size_t at = 0; at < job.record.open.size(); ++at)
         for (std::size_t step = 0; step < job.steps[at].size(); ++step)
         {
-            const auto& tasks = job.record.open[at].tasks[step];
+            auto& tasks = job.record.open[at].tasks[step];
+            restore_failed_runs(job.specification.steps[step], tasks);
             for (std::size_t index = 0; index < tasks.size(); ++index)
                 restore_task(job, at, int(step), int(index), version);
         }
     placement_due_ = true;
 }
 
+void planner::restore_failed_runs(const jobs::step& step,
+                                  std::span<jobs::task_record> tasks)
+{
+    const auto last_ended = [](const jobs::task_record& it)
+    {
+        return it.state == jobs::task_state::assigned ? it.run - 1 : it.run;
+    };
+    if (!step.is_gang)
+    {
+        for (auto& it : tasks)
+            jobs::assume_failed_runs(it, last_ended(it));
+        return;
+    }
+    std::int32_t last = 0;
+    for (const auto& it : tasks)
+        last = std::max(last, last_ended(it));
+    if (!tasks.empty())
+        jobs::assume_failed_runs(tasks.front(), last);
+}
+
 void planner::restore_task(job_run& job, std::size_t position, int step,
                            int index, std::int64_t version)
 {
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -238,22 +238,19 @@
 void planner::task_failed(job_run& job, const jobs::task_key& task, int run)
 {
     const auto& step = job.specification.steps[std::size_t(task.step)];
-    if (step.long_running)
+    auto* record = find_task(failure_subject(job, task));
+    if (step.long_running || record == nullptr ||
+        !jobs::count_failure(*record, run))
         return;
-    auto* record = find_task(task);
-    auto* volatile_step = find_step(task);
-    if (step.is_gang)
-    {
-        // Counts one failure of the whole step for each run number.
-        if (volatile_step->failed_run == run)
-            return;
-        volatile_step->failed_run = run;
-        record = find_task(gang_record_of(task));
-    }
-    ++record->failures;
     mark_dirty(job);
     const auto* queue = context_of(job).queue;
-    if (queue != nullptr && record->failures >= queue->attempts)
+    const int attempts = queue == nullptr ? 0 : queue->attempts;
+    log_event(log_level::info, "planner", "failure_counted",
+              {{"task", to_string(task)},
+               {"run", run},
+               {"failures", record->failures},
+               {"attempts", attempts}});
+    if (queue != nullptr && record->failures >= attempts)
         finish_job(job, jobs::job_state::failed);
 }
 
@@ -362,9 +359,18 @@
     host.uncommitted_ends.insert(end.number);
     job->ends.push_back({host.info.id, host.incarnation_start_ms, end.number});
     mark_dirty(*job);
-    if (record == nullptr || record->run != end.run ||
+    if (record == nullptr || record->run < end.run ||
         record->state == jobs::task_state::done)
         return;
+    if (failed)
+    {
+        // Also that of an earlier run, which was given up while its worker was
+        // out of reach. It may end the job.
+        task_failed(*job, end.task, end.run);
+        record = find_task(end.task);
+    }
+    if (record == nullptr || record->run != end.run)
+        return;
     order_took_effect(host, end.task, end.run);
     // A former leader may have committed the end and terminated before it
     // acknowledged it; only a success is applied again.
@@ -375,10 +381,7 @@
     if (end.outcome == jobs::run_outcome::done && !step.long_running)
         return task_done(*job, end.task);
     if (failed)
-    {
         avoid_host(end.task, host);
-        task_failed(*job, end.task, end.run);
-    }
     keep_checkpoint(end.task, end.run, end.checkpoint, true);
     requeue(end.task, end.run);
 }
--- a/src/mustardwick/dispatch/progress_blocks.cpp
+++ b/src/mustardwick/dispatch/progress_blocks.cpp
@@ -51,6 +51,13 @@
     std::size_t number = 0;
 };
 
+/// Returns the encoded size of the failed runs and what marks them.
+std::size_t failed_runs_bytes(const jobs::task_record& task)
+{
+    const auto n = task.failed_runs.size();
+    return n == 0 ? 0 : bytes_per_list + n * sizeof task.failed_runs[0];
+}
+
 std::string to_string(const block_name& name)
 {
     return std::to_string(name.occurrence) + "." + std::to_string(name.step) +
@@ -120,7 +127,8 @@
             if (n > max_bytes)
                 return false;
             for (const auto& it : tasks)
-                n += it.worker.size() + it.checkpoint.size();
+                n += it.worker.size() + it.checkpoint.size() +
+                     failed_runs_bytes(it);
         }
     }
     return n <= max_bytes;
