--- a/include/mustardwick/entry/gateway.hpp
+++ b/include/mustardwick/entry/gateway.hpp
@@ -26,6 +26,9 @@
     /// Whether the call may have reached a leader.
     bool maybe_sent = false;
     call_trace trace{};
+    /// Whether an earlier copy of the call was not answered. A leader may still
+    /// receive it, for example once a partition has ended.
+    bool has_unanswered_copy = false;
 };
 
 /// @brief Handles the callers' HTTP requests and forwards them to the leader.
--- a/src/mustardwick/entry/entry_node_calls.cpp
+++ b/src/mustardwick/entry/entry_node_calls.cpp
@@ -33,7 +33,8 @@
     base::steady_time deadline;
     std::function<void(leader_result)> done;
     call_trace trace;
-    /// The call may have reached a leader.
+    /// A copy of the call that was not answered may have reached a leader, or
+    /// may still do so after a partition.
     bool maybe_sent = false;
 };
 
@@ -58,12 +59,12 @@
     if (reply.status == reply_status::not_leader)
         call.trace.failed(not_confirmed, known_leader.name, known_leader.epoch,
                           clock.now());
-    call.done({reply, true, call.trace});
+    call.done({reply, true, call.trace, call.maybe_sent});
 }
 
 void entry_node::impl::give_up(const leader_attempt& call)
 {
-    call.done({std::nullopt, call.maybe_sent, call.trace});
+    call.done({std::nullopt, call.maybe_sent, call.trace, call.maybe_sent});
 }
 
 void entry_node::impl::retry_leader(const std::shared_ptr<leader_attempt>& call,
@@ -120,10 +121,10 @@
             return;
         timer->cancel();
         const auto reply = wire::decode<job_reply>(answer);
+        if (reply)
+            return answered(*call, *reply);
         call->maybe_sent = true;
-        if (!reply)
-            return retry_leader(call, leadership_ended);
-        answered(*call, *reply);
+        retry_leader(call, leadership_ended);
     };
     if (!leader->handle(call->type, call->payload, respond))
         return retry_leader(call, not_serving);
--- a/src/mustardwick/entry/gateway.cpp
+++ b/src/mustardwick/entry/gateway.cpp
@@ -78,20 +78,28 @@
     }
 }
 
-/// Returns the answer to a submission that the leader did not accept.
-aio::outgoing_response refusal_response(const job_reply& reply)
+/// Returns the answer to a submission of which the leader did not accept this
+/// copy.
+aio::outgoing_response refusal_response(const job_reply& reply,
+                                        bool has_unanswered_copy)
 {
     const milliseconds retry_after(reply.retry_after_ms);
+    // A 429 or 503 would promise that the job never runs, but another copy may
+    // still be accepted.
+    const auto status_of_refusal = [&](int status)
+    {
+        return has_unanswered_copy ? gateway_timeout : status;
+    };
     switch (reply.status)
     {
     case reply_status::over_share:
-        return retry_later(retry_after, too_many_requests);
+        return retry_later(retry_after, status_of_refusal(too_many_requests));
     case reply_status::withdrawn:
         // Under this id the job can never run, so there is no time to retry.
         return error_response(gone, "the job was cancelled before it was "
                                     "accepted; submit it under another id");
     default:
-        return retry_later(retry_after);
+        return retry_later(retry_after, status_of_refusal(unavailable));
     }
 }
 
@@ -278,12 +286,15 @@
                                        : std::string_view();
               if (!refused.empty())
               {
-                  log_event(log_level::warning, "gateway", "job_refused",
-                            {{"job", context.id},
-                             {"account", context.account},
-                             {"unread_ms", context.unread.count()},
-                             {"reason", refused}});
-                  return context.respond(refusal_response(*result.reply));
+                  log_event(
+                      log_level::warning, "gateway", "job_refused",
+                      {{"job", context.id},
+                       {"account", context.account},
+                       {"unread_ms", context.unread.count()},
+                       {"unanswered_copy", int(result.has_unanswered_copy)},
+                       {"reason", refused}});
+                  return context.respond(refusal_response(
+                      *result.reply, result.has_unanswered_copy));
               }
               if (result.reply)
               {
--- a/src/mustardwick/entry/gateway_test.cpp
+++ b/src/mustardwick/entry/gateway_test.cpp
@@ -101,6 +101,63 @@
     }
 }
 
+struct unanswered_copy_case
+{
+    const char* name;
+    job_reply reply;
+    int status;
+    int retry_after_ms;
+};
+
+// Guards against telling a caller that its job never runs, when an earlier copy
+// of the submission was not answered and a leader accepts it later (review/11).
+Test(gateway, promises_nothing_while_a_copy_is_unanswered)
+{
+    base::set_up_log("test", base::log_level::error);
+    constexpr auto queued = jobs::job_state::queued;
+    const std::array cases = {
+        unanswered_copy_case{"accepted", {reply_status::done}, 200, 0},
+        unanswered_copy_case{"store",
+                             {reply_status::store_unavailable, queued, 0, 1700},
+                             504,
+                             1700},
+        unanswered_copy_case{
+            "share", {reply_status::over_share, queued, 0, 900}, 504, 900},
+        // No copy is accepted any more.
+        unanswered_copy_case{"withdrawn", {reply_status::withdrawn}, 410, 0},
+        unanswered_copy_case{
+            "later release", {reply_status(200), queued, 0, 1000}, 504, 1000},
+    };
+    for (const auto& it : cases)
+    {
+        base::manual_clock clock;
+        base::metrics metrics;
+        const auto state = one_public_queue();
+        gateway handler(clock, metrics, state,
+                        [&](wire::message_type, const std::string&,
+                            base::steady_time, const auto& done)
+                        {
+                            done({it.reply, true, {}, true});
+                        });
+        aio::incoming_request request;
+        request.method = "POST";
+        request.host = "h";
+        request.target = "/q/0123456789abcdef";
+        request.received = clock.now();
+        request.body = chained_steps(1);
+        std::optional<aio::outgoing_response> response;
+        handler.handle(request,
+                       [&](aio::outgoing_response out)
+                       {
+                           response = std::move(out);
+                       });
+        cr_assert(response.has_value(), "%s", it.name);
+        cr_assert_eq(response->status, it.status, "%s", it.name);
+        cr_assert_eq(response->retry_after.value_or(milliseconds(0)),
+                     milliseconds(it.retry_after_ms), "%s", it.name);
+    }
+}
+
 // Guards against callers that wait for a job that can never be stored.
 Test(gateway, refuses_jobs_that_cannot_be_stored_at_once)
 {
