--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -598,8 +598,11 @@
     /// @brief Returns whether a step may use suspect hosts: no other host has
     /// been able to take it for a while, though the service is not busy.
     bool may_use_suspect_hosts(const ready_step& step) const;
-    /// @brief Returns whether all hosts in service with the label that a step
-    /// requires are suspect.
+    /// @brief Returns whether a host that is empty could take a task of a step:
+    /// by label, capacity, spread and what the advisor has answered.
+    bool can_ever_use(const host_state& host, const ready_step& step) const;
+    /// @brief Returns whether all hosts in service that a step could use are
+    /// suspect.
     bool needs_suspect_hosts(const ready_step& step) const;
     /// @brief Returns how many tasks of a step a host may run, regardless of
     /// its free capacity.
--- a/src/mustardwick/dispatch/host_quarantine_test.cpp
+++ b/src/mustardwick/dispatch/host_quarantine_test.cpp
@@ -294,3 +294,94 @@
             cr_assert_eq(*worker, "only", "%s", it.name);
     }
 }
+
+enum class remaining_by
+{
+    /// The advisor denies the other hosts.
+    advice,
+    /// Each of the other hosts has as many tasks of the step as it may have.
+    spread,
+    /// The data are on the rack of the host; the others may be used as well.
+    rack
+};
+
+struct remaining_host_case
+{
+    const char* name;
+    remaining_by what;
+    /// The host on which the job starts; empty for any.
+    const char* worker;
+};
+
+// Guards against a task that lasts and waits for a quarantine in a busy service
+// although no other host may run it (review/15).
+Test(host_quarantine, holds_up_no_task_that_lasts_on_the_host_left_to_it)
+{
+    const std::array cases = {
+        remaining_host_case{"advice", remaining_by::advice, "only"},
+        remaining_host_case{"spread", remaining_by::spread, "only"},
+        remaining_host_case{"rack", remaining_by::rack, ""},
+    };
+    for (const auto& it : cases)
+    {
+        failing_cell cell;
+        auto configuration = make_configuration();
+        configuration.queues["plain"].attempts = 100;
+        cell.plan.set_configuration(configuration);
+        for (int n = 0; n < hosts; ++n)
+            cell.submit(make_job("big" + std::to_string(n), "urgent",
+                                 {make_step(1, 30)}));
+        cr_assert_eq(cell.run_round().starts.size(), hosts, "%s", it.name);
+        jobs::worker_info info;
+        info.id = "only";
+        info.service = "s";
+        info.failure_domain = "z";
+        info.rack = "r";
+        info.capacity = {host_cores * 1000, 64'000, 0};
+        info.labels = {"b"};
+        cell.plan.worker_listed(info);
+        cell.report(info.id);
+        auto bad = make_step(1, 1);
+        bad.required_label = "b";
+        for (int n = 0; n < 6; ++n)
+            cell.submit(make_job("bad" + std::to_string(n), "plain", {bad}));
+        for (const auto& order : cell.run_round().starts)
+            cell.fail(order);
+        for (int n = 0; n < 6; ++n)
+            cell.plan.cancel("bad" + std::to_string(n), [](cancel_result) {});
+        cell.commit();
+
+        auto sound =
+            make_step(it.what == remaining_by::spread ? hosts + 1 : 1, 1);
+        sound.long_running = true;
+        if (it.what == remaining_by::spread)
+            sound.max_per_host = 1;
+        if (it.what == remaining_by::rack)
+            sound.preferred_rack = "r";
+        const bool asks = it.what == remaining_by::advice;
+        cell.submit(make_job("sound", asks ? "asked" : "plain", {sound}));
+        std::set<std::string> workers;
+        for (int n = 0; n < 15; ++n)
+        {
+            const auto out = cell.round(1);
+            for (const auto& order : out.starts)
+            {
+                cell.accept(order);
+                workers.insert(order.worker);
+            }
+            for (const auto& query : out.queries)
+            {
+                auto allowed = allow_all(query);
+                std::erase_if(allowed,
+                              [](const auto& ticket)
+                              {
+                                  return ticket.worker != "only";
+                              });
+                cell.plan.advice_answered(query, allowed, cell.clock.now());
+            }
+        }
+        cr_assert_eq(int(workers.size()), sound.tasks, "%s", it.name);
+        cr_assert(*it.worker == 0 || workers.contains(it.worker), "%s",
+                  it.name);
+    }
+}
--- a/src/mustardwick/dispatch/planner_hosts.cpp
+++ b/src/mustardwick/dispatch/planner_hosts.cpp
@@ -88,17 +88,28 @@
            (!is_busy(step.queue->service) || needs_suspect_hosts(step));
 }
 
+bool planner::can_ever_use(const host_state& host, const ready_step& step) const
+{
+    const auto& spec = step.spec();
+    const bool has_labels =
+        spec.required_label.empty() || has_label(host, spec.required_label);
+    // Tasks that do not last leave the host soon.
+    const bool is_spread_out = spec.long_running && spec.max_per_host > 0 &&
+                               count_tasks_on(host, step) >= spec.max_per_host;
+    return has_labels && !is_spread_out &&
+           !step.state().access.is_denied(host.index) &&
+           step.fit_in(host.info.capacity) > 0;
+}
+
 bool planner::needs_suspect_hosts(const ready_step& step) const
 {
-    const auto& label = step.spec().required_label;
-    return !label.empty() &&
-           std::none_of(hosts_.begin(), hosts_.end(),
+    return std::none_of(hosts_.begin(), hosts_.end(),
                         [&](const auto& entry)
                         {
                             const auto& host = entry.second;
-                            return has_label(host, label) &&
-                                   is_in_service(host, step.queue->service) &&
-                                   !is_suspect(host);
+                            return is_in_service(host, step.queue->service) &&
+                                   !is_suspect(host) &&
+                                   can_ever_use(host, step);
                         });
 }
 
