--- a/include/mustardwick/entry/entry_node.hpp
+++ b/include/mustardwick/entry/entry_node.hpp
@@ -14,6 +14,9 @@
 class entry_node
 {
 public:
+    /// Only the sources of this class and its tests define it.
+    struct impl;
+
     explicit entry_node(settings options);
     ~entry_node();
     entry_node(const entry_node&) = delete;
@@ -26,7 +29,6 @@
     bool run(const std::function<std::optional<settings>()>& reload);
 
 private:
-    struct impl;
     std::shared_ptr<impl> impl_;
 };
 
