--- a/testing/model/call_orders_cell.hpp
+++ b/testing/model/call_orders_cell.hpp
@@ -31,7 +31,9 @@
     supplant_leader,
     close_connections,
     slow_commit,
-    submit
+    submit,
+    /// The store is unavailable, and new jobs are refused.
+    outage
 };
 
 /// How the clock of the next incarnation begins.
@@ -71,6 +73,11 @@
 {
     std::string queue = "plain";
     milliseconds run_time{2500};
+    jobs::step step = make_step(1, 1);
+    /// Duration of an advice query.
+    milliseconds advice_delay = time_step;
+    /// Time after which a refused job is handed in again.
+    milliseconds return_delay{1000};
     bool has_second_worker_at_once = false;
     ending end = ending::answers;
     std::vector<call_event> events;
@@ -78,7 +85,7 @@
 
 inline std::string to_text(const call_event& it)
 {
-    constexpr std::array<const char*, 13> actions = {"pass",
+    constexpr std::array<const char*, 14> actions = {"pass",
                                                      "set_fate",
                                                      "restart",
                                                      "crash",
@@ -90,7 +97,8 @@
                                                      "supplant_leader",
                                                      "close_connections",
                                                      "slow_commit",
-                                                     "submit"};
+                                                     "submit",
+                                                     "outage"};
     constexpr std::array<const char*, 4> calls = {"start", "stop", "renewal",
                                                   "identification"};
     constexpr std::array<const char*, 6> fates = {
@@ -133,6 +141,7 @@
     {
         base::set_up_log("test", base::log_level::error);
         cell_.queue = sequence.queue;
+        cell_.advice_delay = sequence.advice_delay;
         add_worker("w0");
         if (sequence.has_second_worker_at_once)
             add_worker("w1");
@@ -165,6 +174,7 @@
 
     /// Time from the end of all faults until all tasks had ended.
     milliseconds recovery{0};
+    int refusals = 0;
 
 private:
     static constexpr milliseconds max_recovery{32'000};
@@ -203,13 +213,24 @@
 
     void hand_in(const jobs::job& job)
     {
-        leader_->state().submit(job, [] {});
+        leader_->state().submit(
+            job, [] {},
+            [this, job]
+            {
+                ++refusals;
+                cell_.events.after(sequence_.return_delay,
+                                   [this, job]
+                                   {
+                                       if (leader_->is_active)
+                                           hand_in(job);
+                                   });
+            });
     }
 
     void submit()
     {
         const auto id = "j" + std::to_string(cell_.jobs.size());
-        cell_.jobs[id] = make_job(id, sequence_.queue, {make_step(1, 1)});
+        cell_.jobs[id] = make_job(id, sequence_.queue, {sequence_.step});
         if (leader_->is_active)
             hand_in(cell_.jobs[id]);
     }
@@ -274,6 +295,9 @@
             return;
         case action::submit:
             return submit();
+        case action::outage:
+            cell_.store_down_until = cell_.clock.now() + it.delay;
+            return;
         case action::kill_leader:
         case action::hand_over:
         case action::supplant_leader:
--- a/testing/model/call_orders_test.cpp
+++ b/testing/model/call_orders_test.cpp
@@ -307,3 +307,55 @@
         std::cerr << "broken: " << it << '\n';
     cr_assert(broken.empty());
 }
+
+// Guards against a job that is never completed after it was refused while the
+// store was down and handed in again (review/12).
+Test(dropped_jobs, are_completed_once_they_are_handed_in_again)
+{
+    int failed = 0;
+    int refusals = 0;
+    const std::array<milliseconds, 4> queries = {
+        milliseconds(50), milliseconds(500), milliseconds(1000),
+        milliseconds(1500)};
+    const std::array<milliseconds, 3> outages = {
+        milliseconds(700), milliseconds(1200), milliseconds(2500)};
+    const std::array<milliseconds, 3> returns = {
+        milliseconds(100), milliseconds(600), milliseconds(1000)};
+    constexpr std::array<action, 4> changes = {
+        action::pass, action::kill_leader, action::hand_over,
+        action::supplant_leader};
+    for (const auto query : queries)
+        for (const auto outage : outages)
+            for (const auto return_delay : returns)
+                for (const auto change : changes)
+                    for (int then = 0; then < 2000; then += 250)
+                    {
+                        event_sequence it;
+                        it.queue = "asked";
+                        // A third task starts when the tickets of the first
+                        // answer have expired.
+                        it.step = make_step(3, 20);
+                        it.advice_delay = query;
+                        it.return_delay = return_delay;
+                        it.has_second_worker_at_once = true;
+                        call_event down;
+                        down.what = action::outage;
+                        down.delay = outage;
+                        down.then = milliseconds(50);
+                        call_event again;
+                        again.what = action::submit;
+                        again.then = milliseconds(1000 + then);
+                        call_event successor;
+                        successor.what = change;
+                        it.events = {down, again, successor};
+                        call_orders_cell cell(it);
+                        const auto broken = cell.play();
+                        refusals += cell.refusals;
+                        if (broken.empty())
+                            continue;
+                        if (++failed == 1)
+                            std::cerr << to_text(it) << broken.front() << '\n';
+                    }
+    cr_assert_eq(failed, 0);
+    cr_assert_gt(refusals, 0);
+}
--- a/testing/model/incarnation_leader.hpp
+++ b/testing/model/incarnation_leader.hpp
@@ -46,6 +46,9 @@
     std::map<std::string, jobs::job> jobs;
     stored_rows store;
     milliseconds store_delay = time_step;
+    /// Nothing is stored before this time.
+    base::steady_time store_down_until;
+    milliseconds advice_delay = time_step;
     std::string queue;
 
     std::int64_t store_time(base::steady_time time) const
@@ -115,6 +118,13 @@
     {
         if (!is_active)
             return;
+        const bool is_down = cell_.clock.now() < cell_.store_down_until;
+        if (!is_down)
+            down_since_.reset();
+        else if (!down_since_)
+            down_since_ = cell_.clock.now();
+        else if (cell_.clock.now() - *down_since_ >= refusal_timeout)
+            plan.reject_unsent_jobs();
         const std::size_t channels = is_querying_ ? 0 : 1;
         const auto out = plan.take_orders({channels, channels});
         for (const auto& it : out.queries)
@@ -199,7 +209,7 @@
 
     void commit()
     {
-        if (is_committing_)
+        if (is_committing_ || down_since_)
             return;
         auto rows = plan.next_commit(96, 600'000);
         const lease_storing how{[this](base::steady_time time)
@@ -286,7 +296,7 @@
         std::vector<advice_ticket> tickets;
         for (const auto& id : it.workers)
             tickets.push_back({id, cell_.workers.at(id)->ticket()});
-        cell_.events.after(time_step,
+        cell_.events.after(cell_.advice_delay,
                            [this, it, sent, tickets]
                            {
                                is_querying_ = false;
@@ -471,6 +481,7 @@
                 "the leader is fenced, and there is no successor");
     }
 
+    static constexpr milliseconds refusal_timeout{600};
     static constexpr milliseconds renewal_interval{500};
     static constexpr milliseconds settled_interval{250};
     static constexpr milliseconds renewal_margin{800};
@@ -486,6 +497,7 @@
     std::map<std::string, std::shared_ptr<jobs::fencing_tokens>> tokens_;
     bool is_committing_ = false;
     bool is_querying_ = false;
+    std::optional<base::steady_time> down_since_;
     base::steady_time next_commit_;
     base::steady_time next_settled_;
     std::function<void()> released_;
