--- a/include/mustardwick/dispatch/host_state.hpp
+++ b/include/mustardwick/dispatch/host_state.hpp
@@ -137,6 +137,8 @@
     /// That end on the store's clock; also one that a former leader stored,
     /// until the worker answers.
     std::optional<std::int64_t> stored_lease_end_ms;
+    /// The same of calls_until.
+    std::optional<std::int64_t> stored_calls_end_ms;
     /// Highest number of an end that was applied.
     std::int64_t last_applied_end = 0;
     /// Numbers of the applied ends whose effects are not yet committed.
--- a/include/mustardwick/dispatch/lapsing_leases.hpp
+++ b/include/mustardwick/dispatch/lapsing_leases.hpp
@@ -15,7 +15,8 @@
 {
 
 /// @brief Lease of a worker that does not answer; it is not renewed, so that
-/// nothing runs there once it has ended.
+/// nothing runs there once it has ended, but for calls that were not answered
+/// and are carried out late.
 struct lapsing_lease
 {
     std::string worker;
@@ -23,11 +24,14 @@
     /// By when it has ended, in milliseconds on the store's clock, which all
     /// leaders read.
     std::int64_t end_ms = 0;
+    /// By when no call that lengthens it is carried out any more, on the same
+    /// clock.
+    std::int64_t calls_end_ms = 0;
 
     template <typename Archive>
     void serialize(Archive& ar)
     {
-        ar(worker, incarnation_start_ms, end_ms);
+        ar(worker, incarnation_start_ms, end_ms, calls_end_ms);
     }
 };
 
@@ -46,7 +50,7 @@
     }
 };
 
-/// With ids of up to this length the row stays below 40,000 bytes. The tasks of
+/// With ids of up to this length the row stays below 41,000 bytes. The tasks of
 /// other workers wait for the bound that a successor knows without the row.
 inline constexpr std::size_t max_lapsing_leases = 400;
 inline constexpr std::size_t max_lapsing_worker_bytes = 70;
--- a/include/mustardwick/dispatch/planner.hpp
+++ b/include/mustardwick/dispatch/planner.hpp
@@ -244,8 +244,10 @@
     /// @brief Records that the leases returned last are stored, and no others.
     void lapsing_leases_stored();
     /// @brief Restores a lease that a former leader stored, which ends at
-    /// `bound` at the latest.
-    void restore_lapsing_lease(const lapsing_lease& lease, time_point bound);
+    /// `bound` at the latest, unless a call is carried out late, which none is
+    /// after `calls_bound`.
+    void restore_lapsing_lease(const lapsing_lease& lease, time_point bound,
+                               time_point calls_bound);
     /// @}
 
     /// @brief Returns which orders are settled, for a successor: a task whose
--- a/src/mustardwick/dispatch/planner_leases.cpp
+++ b/src/mustardwick/dispatch/planner_leases.cpp
@@ -156,8 +156,8 @@
     const auto silence = how.hands_over ? milliseconds(0) : usual;
     // While the host was suspended its clock stood still. A reading after the
     // last renewal converts the end of the lease all the same.
-    return !host.reachable && !host.runs.empty() && host.lease_bound > now &&
-           host.silent_since && now - *host.silent_since >= silence &&
+    return !host.reachable && !host.runs.empty() && host.silent_since &&
+           now - *host.silent_since >= silence &&
            how.clock_read >= *host.silent_since &&
            host.info.id.size() <= max_lapsing_worker_bytes;
 }
@@ -188,11 +188,13 @@
             continue;
         if (!host.stored_lease_end_ms)
             host.stored_lease_end_ms = how.to_store(host.lease_bound);
+        if (!host.stored_calls_end_ms)
+            host.stored_calls_end_ms = how.to_store(host.calls_until);
         // From now on, as the transaction may be carried out without an answer.
         host.lease_is_stored = true;
         leases_in_flight_.insert(id);
-        out.push_back(
-            {id, host.incarnation_start_ms, *host.stored_lease_end_ms});
+        out.push_back({id, host.incarnation_start_ms, *host.stored_lease_end_ms,
+                       *host.stored_calls_end_ms});
     }
     return out;
 }
@@ -204,20 +206,27 @@
         {
             host.lease_is_stored = false;
             host.stored_lease_end_ms.reset();
+            host.stored_calls_end_ms.reset();
             placement_due_ = true;
         }
 }
 
 void planner::restore_lapsing_lease(const lapsing_lease& lease,
-                                    time_point bound)
+                                    time_point bound, time_point calls_bound)
 {
     const auto it = hosts_.find(lease.worker);
     if (it == hosts_.end())
         return;
     auto& host = it->second;
     if (host.adopted || host.runs.empty() ||
-        host.incarnation_start_ms != lease.incarnation_start_ms ||
-        bound >= host.lease_bound)
+        host.incarnation_start_ms != lease.incarnation_start_ms)
+        return;
+    if (calls_bound < host.calls_until)
+    {
+        host.calls_until = calls_bound;
+        host.stored_calls_end_ms = lease.calls_end_ms;
+    }
+    if (bound >= host.lease_bound)
         return;
     host.lease_bound = bound;
     // A chain of leaders must not postpone the end by the inaccuracy of each
--- a/src/mustardwick/dispatch/planner_leases_test.cpp
+++ b/src/mustardwick/dispatch/planner_leases_test.cpp
@@ -107,6 +107,13 @@
         plan.lapsing_leases_stored();
     }
 
+    void restore(const std::vector<lapsing_lease>& leases)
+    {
+        for (const auto& it : leases)
+            plan.restore_lapsing_lease(it, *store.from_store(it.end_ms),
+                                       *store.from_store(it.calls_end_ms));
+    }
+
     /// The order of the job has been answered.
     void take_over(const std::vector<lapsing_lease>& leases)
     {
@@ -114,8 +121,7 @@
                      running_record("w0"));
         settle({0, 1, {}});
         storing();
-        for (const auto& it : leases)
-            plan.restore_lapsing_lease(it, *store.from_store(it.end_ms));
+        restore(leases);
     }
 
     /// Lets time pass and returns whether a task of the job is started.
@@ -208,9 +214,7 @@
                                   record);
             current->settle(settled);
             current->storing();
-            for (const auto& lease : stored)
-                current->plan.restore_lapsing_lease(
-                    lease, *current->store.from_store(lease.end_ms));
+            current->restore(stored);
         }
         const auto left = lease_life - (passed - renewed);
         cr_assert_not(current->starts_within(left - milliseconds(600)),
@@ -274,9 +278,7 @@
             second.report("w0", {run});
             cr_assert(second.plan.lease_deadline("w0").has_value());
             second.storing();
-            for (const auto& lease : first.stored)
-                second.plan.restore_lapsing_lease(
-                    lease, *second.store.from_store(lease.end_ms));
+            second.restore(first.stored);
         }
         else
             second.take_over(first.stored);
--- a/src/mustardwick/dispatch/planner_outstanding.cpp
+++ b/src/mustardwick/dispatch/planner_outstanding.cpp
@@ -283,18 +283,30 @@
     settled_orders out;
     out.version = stored_version_ + 1;
     auto oldest = out.version;
-    std::map<jobs::task_key, time_point> until;
-    const auto add =
-        [&](const jobs::task_key& task, time_point time, std::int64_t stored_in)
+    struct bound
+    {
+        time_point until;
+        /// What it is counted from, on this host's clock.
+        time_point from;
+    };
+    std::map<jobs::task_key, bound> bounds;
+    const auto add = [&](const jobs::task_key& task, time_point until,
+                         time_point from, std::int64_t stored_in)
     {
         oldest = std::min(oldest, stored_in);
-        auto& latest = until[task];
-        latest = std::max(latest, time);
+        auto& latest = bounds[task];
+        latest = {std::max(latest.until, until), std::max(latest.from, from)};
+    };
+    // An order is sent by then, if it is not answered earlier.
+    const auto sent = [this](time_point until)
+    {
+        return until - options_.max_delivery_delay;
     };
     for (const auto& [id, host] : hosts_)
         for (const auto& [key, it] : host.runs)
             if (it.outstanding_until)
-                add(key.first, *it.outstanding_until, it.stored_in);
+                add(key.first, *it.outstanding_until,
+                    sent(*it.outstanding_until), it.stored_in);
     if (may_have_outstanding_orders_)
         for_each_outstanding_step(
             active_,
@@ -303,20 +315,19 @@
                 for (const auto& [index, order] :
                      job.steps[at][std::size_t(step)].outstanding)
                     add(key_of(job, at, step, index), order.until,
+                        order.is_inherited ? created_ : sent(order.until),
                         order.stored_in);
             });
-    if (until.size() > max_outstanding_tasks)
+    if (bounds.size() > max_outstanding_tasks)
     {
         out.version = oldest;
         return out;
     }
-    for (const auto& [task, time] : until)
+    for (const auto& [task, it] : bounds)
     {
-        // An order is sent by then, if it is not answered earlier.
-        const auto sent = time - options_.max_delivery_delay;
         std::optional<std::int64_t> until_ms;
-        if (to_store && sent <= to_store->clock_read)
-            until_ms = to_store->convert(time);
+        if (to_store && it.from <= to_store->clock_read)
+            until_ms = to_store->convert(it.until);
         out.except.push_back({to_string(task), until_ms});
     }
     return out;
--- a/src/mustardwick/dispatch/planner_reports.cpp
+++ b/src/mustardwick/dispatch/planner_reports.cpp
@@ -83,7 +83,10 @@
     host.reported = clock_.now();
     report_outlived_leases(host, report);
     if (!host.lease_is_stored)
+    {
         host.stored_lease_end_ms.reset();
+        host.stored_calls_end_ms.reset();
+    }
     update_clock(host, report.clock_ms);
     for (const auto& it : report.ended)
         if (it.number > host.last_applied_end)
--- a/src/mustardwick/dispatch/planner_runs.cpp
+++ b/src/mustardwick/dispatch/planner_runs.cpp
@@ -398,6 +398,7 @@
         host.lease_bound =
             std::max(host.lease_bound, host.calls_until + longest_lease());
     host.stored_lease_end_ms.reset();
+    host.stored_calls_end_ms.reset();
     std::set<run_key> listed;
     for (const auto& it : report.running)
         listed.insert({it.task, it.run});
--- a/src/mustardwick/entry/cell_leader_load.cpp
+++ b/src/mustardwick/entry/cell_leader_load.cpp
@@ -87,9 +87,14 @@
                          {{"reason", base::last_error().text()}});
     if (jobs::next_epoch(stored->epoch) != head_.epoch)
         return;
+    const auto& clock = env_.store.clock();
     for (const auto& it : stored->leases)
-        if (const auto bound = env_.store.clock().from_store(it.end_ms))
-            planner_.restore_lapsing_lease(it, *bound);
+    {
+        const auto bound = clock.from_store(it.end_ms);
+        const auto calls_bound = clock.from_store(it.calls_end_ms);
+        if (bound && calls_bound)
+            planner_.restore_lapsing_lease(it, *bound, *calls_bound);
+    }
 }
 
 void cell_leader::load_settled_orders(const durable::row& row)
--- a/testing/model/call_orders_test.cpp
+++ b/testing/model/call_orders_test.cpp
@@ -359,3 +359,48 @@
     cr_assert_eq(failed, 0);
     cr_assert_gt(refusals, 0);
 }
+
+// Guards against a task that waits anew for its unanswered order after each
+// change of leaders (review/14).
+Test(unanswered_orders, are_waited_for_once_over_changes_of_leaders)
+{
+    // From the last call that may lengthen the lease, which takes 2.7 s, until
+    // it has been carried out late, after 12.3 s, and its lease has ended,
+    // after 6.3 s; and what the worker's silence takes to be noticed.
+    constexpr milliseconds one_bound{22'500};
+    constexpr int changes = 12;
+    constexpr milliseconds term{1500};
+    for (const auto change : {action::hand_over, action::kill_leader})
+        for (const int answered : {0, 1, 3})
+        {
+            event_sequence it;
+            it.has_second_worker_at_once = false;
+            it.run_time = milliseconds(9000);
+            it.end = ending::gone;
+            it.events.push_back({action::set_fate,
+                                 call_kind::start,
+                                 fate_kind::lost,
+                                 {},
+                                 false,
+                                 {},
+                                 milliseconds(100 * answered)});
+            call_event cut;
+            cut.what = action::cut;
+            cut.then = milliseconds(2000);
+            it.events.push_back(cut);
+            for (int n = 0; n < changes; ++n)
+            {
+                call_event next;
+                next.what = change;
+                next.then = term;
+                it.events.push_back(next);
+            }
+            call_orders_cell cell(it);
+            const auto broken = cell.play();
+            cr_assert(broken.empty(), "%s: %s", to_text(it).c_str(),
+                      broken.empty() ? "" : broken.front().c_str());
+            const auto waited = cell.recovery + changes * term;
+            cr_assert_leq(waited, one_bound + it.run_time, "%s: %d ms",
+                          to_text(it).c_str(), int(waited.count()));
+        }
+}
--- a/testing/model/incarnation_leader.hpp
+++ b/testing/model/incarnation_leader.hpp
@@ -197,7 +197,8 @@
         if (jobs::next_epoch(store.leases.epoch) == epoch_)
             for (const auto& it : store.leases.leases)
                 plan.restore_lapsing_lease(
-                    it, base::steady_time(milliseconds(it.end_ms)));
+                    it, base::steady_time(milliseconds(it.end_ms)),
+                    base::steady_time(milliseconds(it.calls_end_ms)));
         plan.settle_inherited_orders(store.settled,
                                      [](std::int64_t time_ms)
                                      {
