--- a/src/mustardwick/entry/gateway_test.cpp
+++ b/src/mustardwick/entry/gateway_test.cpp
@@ -41,6 +41,39 @@
     return out + "]}";
 }
 
+/// Returns the response to a submission that the leader answers with the given
+/// result.
+aio::outgoing_response submit(const std::string& body,
+                              const leader_result& result,
+                              bool* is_forwarded = nullptr)
+{
+    base::manual_clock clock;
+    base::metrics metrics;
+    const auto state = one_public_queue();
+    gateway handler(clock, metrics, state,
+                    [&](wire::message_type, const std::string&,
+                        base::steady_time, const auto& done)
+                    {
+                        if (is_forwarded != nullptr)
+                            *is_forwarded = true;
+                        done(result);
+                    });
+    aio::incoming_request request;
+    request.method = "POST";
+    request.host = "h";
+    request.target = "/q/0123456789abcdef";
+    request.received = clock.now();
+    request.body = body;
+    std::optional<aio::outgoing_response> response;
+    handler.handle(request,
+                   [&](aio::outgoing_response out)
+                   {
+                       response = std::move(out);
+                   });
+    cr_assert(response.has_value());
+    return std::move(*response);
+}
+
 } // namespace
 
 struct submit_case
@@ -73,30 +106,9 @@
     };
     for (const auto& it : cases)
     {
-        base::manual_clock clock;
-        base::metrics metrics;
-        const auto state = one_public_queue();
-        gateway handler(clock, metrics, state,
-                        [&](wire::message_type, const std::string&,
-                            base::steady_time, const auto& done)
-                        {
-                            done({it.reply, true});
-                        });
-        aio::incoming_request request;
-        request.method = "POST";
-        request.host = "h";
-        request.target = "/q/0123456789abcdef";
-        request.received = clock.now();
-        request.body = chained_steps(1);
-        std::optional<aio::outgoing_response> response;
-        handler.handle(request,
-                       [&](aio::outgoing_response out)
-                       {
-                           response = std::move(out);
-                       });
-        cr_assert(response.has_value());
-        cr_assert_eq(response->status, it.status);
-        cr_assert_eq(response->retry_after.value_or(milliseconds(0)),
+        const auto response = submit(chained_steps(1), {it.reply, true});
+        cr_assert_eq(response.status, it.status);
+        cr_assert_eq(response.retry_after.value_or(milliseconds(0)),
                      milliseconds(it.retry_after_ms));
     }
 }
@@ -130,30 +142,10 @@
     };
     for (const auto& it : cases)
     {
-        base::manual_clock clock;
-        base::metrics metrics;
-        const auto state = one_public_queue();
-        gateway handler(clock, metrics, state,
-                        [&](wire::message_type, const std::string&,
-                            base::steady_time, const auto& done)
-                        {
-                            done({it.reply, true, {}, true});
-                        });
-        aio::incoming_request request;
-        request.method = "POST";
-        request.host = "h";
-        request.target = "/q/0123456789abcdef";
-        request.received = clock.now();
-        request.body = chained_steps(1);
-        std::optional<aio::outgoing_response> response;
-        handler.handle(request,
-                       [&](aio::outgoing_response out)
-                       {
-                           response = std::move(out);
-                       });
-        cr_assert(response.has_value(), "%s", it.name);
-        cr_assert_eq(response->status, it.status, "%s", it.name);
-        cr_assert_eq(response->retry_after.value_or(milliseconds(0)),
+        const auto response =
+            submit(chained_steps(1), {it.reply, true, {}, true});
+        cr_assert_eq(response.status, it.status, "%s", it.name);
+        cr_assert_eq(response.retry_after.value_or(milliseconds(0)),
                      milliseconds(it.retry_after_ms), "%s", it.name);
     }
 }
@@ -169,33 +161,12 @@
     };
     for (const auto& it : cases)
     {
-        base::manual_clock clock;
-        base::metrics metrics;
-        const auto state = one_public_queue();
         bool is_forwarded = false;
-        gateway handler(clock, metrics, state,
-                        [&](wire::message_type, const std::string&,
-                            base::steady_time, const auto& done)
-                        {
-                            is_forwarded = true;
-                            done({job_reply{reply_status::done}, true});
-                        });
-        aio::incoming_request request;
-        request.method = "POST";
-        request.host = "h";
-        request.target = "/q/0123456789abcdef";
-        request.received = clock.now();
-        request.body = it.body;
-        std::optional<aio::outgoing_response> response;
-        handler.handle(request,
-                       [&](aio::outgoing_response out)
-                       {
-                           response = std::move(out);
-                       });
-        cr_assert(response.has_value());
-        cr_assert_eq(response->status, it.status);
+        const auto response = submit(
+            it.body, {job_reply{reply_status::done}, true}, &is_forwarded);
+        cr_assert_eq(response.status, it.status);
         cr_assert_eq(is_forwarded, it.is_forwarded);
-        const bool explains = response->body.find("error") != std::string::npos;
+        const bool explains = response.body.find("error") != std::string::npos;
         cr_assert_eq(explains, it.status != 200);
     }
 }
